--- /dev/null
+++ b/include/chicorybank/base/Hash.h
@@ -0,0 +1,38 @@
+// Hashing for placement. All of it is xxHash (XXH3, 64 bits).
+//
+// Placement must be the same on every instance, so the inputs are copied into
+// a buffer with a fixed layout; nothing here depends on padding.
+
+#ifndef CHICORYBANK_BASE_HASH_H
+#define CHICORYBANK_BASE_HASH_H
+
+#include "chicorybank/base/Types.h"
+
+#include <string_view>
+
+namespace chicory {
+
+/// A hash of raw bytes.
+uint64_t hashBytes(std::string_view bytes);
+
+/// A hash of a flow key; the input of every placement decision.
+uint64_t hashFlow(const FlowKey &key);
+
+/// Mixes a flow's hash with a candidate's id. Cheap: it is called once for
+/// each candidate of a rendezvous choice.
+///
+///   uint64_t score = mixHash(hashFlow(key), target.packed());
+inline uint64_t mixHash(uint64_t hash, uint64_t candidate) {
+  // The finalizer of SplitMix64 (Steele, Lea, Flood 2014).
+  uint64_t x = hash ^ (candidate * 0x9e3779b97f4a7c15ULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+/// The id of a service with this name; never zero.
+ServiceId serviceIdOf(std::string_view name);
+
+} // namespace chicory
+
+#endif
--- /dev/null
+++ b/include/chicorybank/base/Types.h
@@ -0,0 +1,124 @@
+// Strong types for ids, addresses and times.
+//
+// Every package uses these in place of bare integers, so that an instance id
+// can't be handed over where a request id is expected.
+
+#ifndef CHICORYBANK_BASE_TYPES_H
+#define CHICORYBANK_BASE_TYPES_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chicory {
+
+/// The clock of `core`: microseconds since an origin that the caller chooses.
+///
+/// `core` never reads a clock. A shell maps its own onto this one; see
+/// `daemon/Clock.h`, which uses CLOCK_BOOTTIME because that one goes on
+/// counting while a machine is suspended, and leases depend on it.
+struct CoreClock {
+  using rep = int64_t;
+  using period = std::micro;
+  using duration = std::chrono::duration<rep, period>;
+  using time_point = std::chrono::time_point<CoreClock>;
+  static constexpr bool is_steady = true;
+};
+
+/// A length of time in microseconds.
+///
+///   Duration timeout = std::chrono::milliseconds(250);
+using Duration = CoreClock::duration;
+
+/// A point in time on `CoreClock`.
+using Time = CoreClock::time_point;
+
+/// An integer that belongs to one kind of thing.
+///
+///   InstanceId a{3};
+///   uint32_t raw = a.Value;
+template <typename Tag, typename Rep> struct StrongId {
+  Rep Value = 0;
+  auto operator<=>(const StrongId &) const = default;
+};
+
+/// One entry instance. Zero means "none".
+using InstanceId = StrongId<struct InstanceTag, uint32_t>;
+/// One service: a 32-bit hash of its name. Zero means "none".
+using ServiceId = StrongId<struct ServiceTag, uint32_t>;
+/// One request on a flow; chosen by the caller.
+using RequestId = StrongId<struct RequestTag, uint64_t>;
+/// A version of the operators' rule set. Zero means that none is known.
+using RuleVersion = StrongId<struct RuleVersionTag, uint64_t>;
+/// A version of the members document (see `core/Authority.h`).
+using MembersVersion = StrongId<struct MembersVersionTag, uint64_t>;
+
+/// An IPv4 address and a port, both in host byte order.
+struct Address {
+  uint32_t Ip = 0;
+  uint16_t Port = 0;
+
+  auto operator<=>(const Address &) const = default;
+  /// True for every address but the default one.
+  explicit operator bool() const { return Ip != 0 || Port != 0; }
+  /// Both parts in one integer, for hashing and for compact tables.
+  uint64_t packed() const { return (uint64_t{Ip} << 16) | Port; }
+  /// The inverse of `packed`.
+  static Address unpack(uint64_t bits) {
+    return {.Ip = static_cast<uint32_t>(bits >> 16),
+            .Port = static_cast<uint16_t>(bits)};
+  }
+};
+
+/// One target is known by its address: it keeps its identity across rule sets.
+using TargetId = Address;
+
+/// The five fields that name a flow, as the caller sees them.
+struct FlowKey {
+  Address Source;
+  Address Destination;
+  uint8_t Protocol = 17;
+
+  auto operator<=>(const FlowKey &) const = default;
+};
+
+/// Parses "10.0.0.1:80". Returns nothing for any other text.
+///
+///   std::optional<Address> a = parseAddress("127.0.0.1:9000");
+std::optional<Address> parseAddress(std::string_view text);
+
+/// Parses "10.0.0.1" to host byte order.
+std::optional<uint32_t> parseIp(std::string_view text);
+
+/// Parses a whole decimal number, with nothing before or after it.
+std::optional<uint64_t> parseNumber(std::string_view text);
+
+/// The text that `parseIp` reads.
+std::string formatIp(uint32_t ip);
+
+/// The text that `parseAddress` reads.
+std::string formatAddress(Address address);
+
+/// "src>dst/proto", for logs and for operators.
+std::string formatFlow(const FlowKey &key);
+
+} // namespace chicory
+
+template <typename Tag, typename Rep>
+struct std::hash<chicory::StrongId<Tag, Rep>> {
+  size_t operator()(const chicory::StrongId<Tag, Rep> &id) const {
+    return std::hash<Rep>{}(id.Value);
+  }
+};
+
+template <> struct std::hash<chicory::Address> {
+  size_t operator()(const chicory::Address &address) const {
+    return std::hash<uint64_t>{}(address.packed());
+  }
+};
+
+#endif
--- /dev/null
+++ b/include/chicorybank/core/FlowTable.h
@@ -0,0 +1,88 @@
+// Which target each flow is pinned to.
+//
+// One open-addressing table with linear probing, allocated once: its memory is
+// a hard bound and no packet ever waits for a rehash. A full table refuses new
+// flows (Reason::FlowTableFull) and never drops an established one.
+
+#ifndef CHICORYBANK_CORE_FLOWTABLE_H
+#define CHICORYBANK_CORE_FLOWTABLE_H
+
+#include "chicorybank/base/Types.h"
+
+#include <vector>
+
+namespace chicory {
+
+/// What is remembered of a flow. 40 bytes.
+struct FlowPin {
+  uint64_t SourceBits = 0;
+  uint64_t DestinationBits = 0;
+  TargetId PinnedTarget;
+  ServiceId Service;
+  /// Seconds on `CoreClock`, for expiry and for finding silent flows.
+  uint32_t LastFromCaller = 0;
+  uint32_t LastFromTarget = 0;
+  uint8_t Protocol = 0;
+  bool Used = false;
+  /// The target was guessed after the flow's home was lost and has not yet
+  /// answered.
+  bool Tentative = false;
+  /// Packets from the caller since the target last sent one.
+  uint8_t Unanswered = 0;
+
+  FlowKey key() const {
+    return {.Source = Address::unpack(SourceBits),
+            .Destination = Address::unpack(DestinationBits),
+            .Protocol = Protocol};
+  }
+};
+
+/// Pins by flow key.
+///
+///   FlowTable flows(100'000);
+///   if (FlowPin *pin = flows.insert(key))
+///     pin->PinnedTarget = target;
+class FlowTable {
+public:
+  /// Room for `capacity` flows; the table takes a quarter more slots.
+  explicit FlowTable(size_t capacity);
+
+  /// The pin of a flow, or null. Valid until the next insert or erase.
+  FlowPin *find(const FlowKey &key);
+  /// A fresh pin, or null where the table is full. The key must be absent.
+  FlowPin *insert(const FlowKey &key);
+  /// Forgets a flow, if it is there.
+  void erase(const FlowKey &key);
+  /// Calls `visit` on the next `count` slots, round and round. `visit` returns
+  /// true for a pin that is to be erased.
+  template <typename Visit> void sweep(size_t count, Visit visit);
+
+  size_t size() const { return Count; }
+  size_t capacity() const { return Capacity; }
+  /// Memory of the table, in bytes.
+  size_t memoryBytes() const { return Slots.size() * sizeof(FlowPin); }
+
+private:
+  size_t home(const FlowKey &key) const;
+  size_t locate(const FlowKey &key) const;
+  void eraseAt(size_t i);
+
+  size_t Capacity;
+  size_t Count = 0;
+  size_t SweepPosition = 0;
+  std::vector<FlowPin> Slots;
+};
+
+template <typename Visit> void FlowTable::sweep(size_t count, Visit visit) {
+  for (size_t n = 0; n < count; ++n) {
+    SweepPosition = (SweepPosition + 1) % Slots.size();
+    FlowPin &pin = Slots[SweepPosition];
+    // Erasing moves a later pin into this slot, so look at it again.
+    while (pin.Used && visit(pin))
+      eraseAt(SweepPosition);
+  }
+}
+
+} // namespace chicory
+
+#endif
--- /dev/null
+++ b/include/chicorybank/rules/RuleMatcher.h
@@ -0,0 +1,73 @@
+// A rule set compiled for first-match decisions.
+//
+// The method is tuple space search (Srinivasan, Suri, Varghese, SIGCOMM 1999):
+// rules with the same prefix lengths share one hash table, and a decision
+// looks into each table once, best rule first, until no table can hold an
+// earlier rule than the one found. docs/design/rule-matching.md weighs it.
+
+#ifndef CHICORYBANK_RULES_RULEMATCHER_H
+#define CHICORYBANK_RULES_RULEMATCHER_H
+
+#include "chicorybank/rules/RuleSet.h"
+
+#include <limits>
+#include <optional>
+#include <vector>
+
+namespace chicory {
+
+/// Finds the first rule that matches a flow.
+///
+///   RuleMatcher matcher(rules.Rules);
+///   if (std::optional<uint32_t> i = matcher.firstMatch(key))
+///     use(rules.Rules[*i]);
+class RuleMatcher {
+public:
+  explicit RuleMatcher(const std::vector<Rule> &rules);
+
+  /// The index of the first rule that matches.
+  std::optional<uint32_t> firstMatch(const FlowKey &key) const;
+  /// How many tables a decision may have to look into.
+  size_t tupleCount() const { return Tuples.size(); }
+  /// Memory of the tables, in bytes.
+  size_t memoryBytes() const { return Slots.size() * sizeof(Slot); }
+
+private:
+  static constexpr uint32_t NoRule = std::numeric_limits<uint32_t>::max();
+
+  /// What the rules of one table have in common.
+  struct Tuple {
+    uint32_t SourceMask = 0;
+    uint32_t DestinationMask = 0;
+    uint16_t PortMask = 0;
+    uint8_t ProtocolMask = 0;
+    uint32_t FirstRule = NoRule;
+
+    bool sameMasks(const Tuple &other) const;
+  };
+  /// A masked key of one table and the first rule that has it.
+  struct Slot {
+    uint64_t Addresses = 0;
+    uint32_t PortAndProtocol = 0;
+    uint16_t TupleIndex = 0;
+    uint32_t RuleIndex = NoRule;
+  };
+  /// A rule's key before it is put into the table.
+  struct Entry {
+    Tuple Masks;
+    Slot Key;
+  };
+
+  static std::vector<Entry> expand(const Rule &rule, uint32_t index);
+  static Slot maskedKey(const Tuple &tuple, uint16_t index, const FlowKey &key);
+  uint16_t tupleFor(const Tuple &masks);
+  void insert(const Slot &slot);
+  size_t slotIndex(const Slot &key) const;
+
+  std::vector<Tuple> Tuples;
+  std::vector<Slot> Slots;
+};
+
+} // namespace chicory
+
+#endif
--- /dev/null
+++ b/lib/base/TomlReader.cpp
@@ -0,0 +1,208 @@
+#include "chicorybank/base/TomlReader.h"
+
+#include <utility>
+
+namespace chicory {
+
+namespace {
+
+std::optional<Duration> parseDuration(std::string_view text) {
+  size_t digits = text.find_first_not_of("0123456789");
+  if (digits == 0 || digits == std::string_view::npos || digits > 9)
+    return std::nullopt;
+  auto count = static_cast<int64_t>(*parseNumber(text.substr(0, digits)));
+  std::string_view unit = text.substr(digits);
+  if (unit == "us")
+    return std::chrono::microseconds(count);
+  if (unit == "ms")
+    return std::chrono::milliseconds(count);
+  if (unit == "s")
+    return std::chrono::seconds(count);
+  if (unit == "min")
+    return std::chrono::minutes(count);
+  return std::nullopt;
+}
+
+} // namespace
+
+Place placeOf(const toml::node &node, const std::string &file) {
+  const toml::source_position &begin = node.source().begin;
+  return {.File = file, .Line = begin.line, .Column = begin.column};
+}
+
+std::optional<toml::table>
+parseToml(std::string_view text, const std::string &file, Findings &findings) {
+  toml::parse_result result = toml::parse(text, file);
+  if (result)
+    return std::move(result).table();
+  const toml::parse_error &error = result.error();
+  findings.add({.File = file,
+                .Line = error.source().begin.line,
+                .Column = error.source().begin.column},
+               std::string(error.description()));
+  return std::nullopt;
+}
+
+TomlReader::TomlReader(const toml::table &table, std::string file,
+                       Findings &findings)
+    : Table(table), File(std::move(file)), Faults(findings) {}
+
+const toml::node *TomlReader::find(std::string_view key) {
+  Known.emplace(key);
+  return Table.get(key);
+}
+
+Place TomlReader::placeOf(std::string_view key) const {
+  const toml::node *node = Table.get(key);
+  return chicory::placeOf(node != nullptr ? *node : Table, File);
+}
+
+void TomlReader::fault(std::string_view key, std::string message) {
+  Faults.add(placeOf(key), std::string(key) + ": " + std::move(message));
+}
+
+std::string TomlReader::text(std::string_view key, std::string fallback) {
+  const toml::node *node = find(key);
+  if (node == nullptr)
+    return fallback;
+  if (auto value = node->value_exact<std::string>())
+    return *value;
+  fault(key, "expected a string");
+  return fallback;
+}
+
+std::string TomlReader::requiredText(std::string_view key) {
+  if (find(key) == nullptr) {
+    fault(key, "is missing");
+    return {};
+  }
+  std::string value = text(key, {});
+  if (value.empty() && find(key)->is_string())
+    fault(key, "must not be empty");
+  return value;
+}
+
+int64_t TomlReader::number(std::string_view key, int64_t fallback,
+                           NumberBounds bounds) {
+  const toml::node *node = find(key);
+  if (node == nullptr)
+    return fallback;
+  auto value = node->value_exact<int64_t>();
+  if (!value) {
+    fault(key, "expected a whole number");
+    return fallback;
+  }
+  if (*value < bounds.Least || *value > bounds.Most) {
+    fault(key, "is " + std::to_string(*value) + ", expected " +
+                   std::to_string(bounds.Least) + " to " +
+                   std::to_string(bounds.Most));
+    return fallback;
+  }
+  return *value;
+}
+
+bool TomlReader::flag(std::string_view key, bool fallback) {
+  const toml::node *node = find(key);
+  if (node == nullptr)
+    return fallback;
+  if (auto value = node->value_exact<bool>())
+    return *value;
+  fault(key, "expected true or false");
+  return fallback;
+}
+
+Address TomlReader::address(std::string_view key, bool required) {
+  if (find(key) == nullptr && !required)
+    return {};
+  std::string value = requiredText(key);
+  if (value.empty())
+    return {};
+  std::optional<Address> parsed = parseAddress(value);
+  if (!parsed) {
+    fault(key, "\"" + value + "\" is no IP:port");
+    return {};
+  }
+  return *parsed;
+}
+
+Duration TomlReader::duration(std::string_view key, Duration fallback,
+                              Duration least, Duration most) {
+  if (find(key) == nullptr)
+    return fallback;
+  std::string value = text(key, {});
+  std::optional<Duration> parsed = parseDuration(value);
+  if (!parsed) {
+    fault(key, "expected a time with its unit, such as \"250ms\" or \"3s\"");
+    return fallback;
+  }
+  if (*parsed < least || *parsed > most) {
+    fault(key, "is " + std::to_string(parsed->count()) + "us, expected " +
+                   std::to_string(least.count()) + "us to " +
+                   std::to_string(most.count()) + "us");
+    return fallback;
+  }
+  return *parsed;
+}
+
+std::vector<std::pair<std::string, Place>>
+TomlReader::texts(std::string_view key) {
+  std::vector<std::pair<std::string, Place>> out;
+  const toml::node *node = find(key);
+  if (node == nullptr)
+    return out;
+  if (auto value = node->value_exact<std::string>()) {
+    out.emplace_back(*value, placeOf(key));
+    return out;
+  }
+  const toml::array *array = node->as_array();
+  if (array == nullptr) {
+    fault(key, "expected a string or a list of strings");
+    return out;
+  }
+  for (const toml::node &it : *array) {
+    Place place = chicory::placeOf(it, File);
+    if (auto value = it.value_exact<std::string>())
+      out.emplace_back(*value, place);
+    else
+      Faults.add(place, std::string(key) + ": expected a string");
+  }
+  return out;
+}
+
+const toml::table *TomlReader::table(std::string_view key) {
+  const toml::node *node = find(key);
+  if (node == nullptr)
+    return nullptr;
+  if (!node->is_table())
+    fault(key, "expected a table");
+  return node->as_table();
+}
+
+std::vector<const toml::table *> TomlReader::tables(std::string_view key) {
+  std::vector<const toml::table *> out;
+  const toml::node *node = find(key);
+  if (node == nullptr)
+    return out;
+  const toml::array *array = node->as_array();
+  if (array == nullptr) {
+    fault(key, "expected a list of tables");
+    return out;
+  }
+  for (const toml::node &it : *array) {
+    if (const toml::table *item = it.as_table())
+      out.push_back(item);
+    else
+      Faults.add(chicory::placeOf(it, File),
+                 std::string(key) + ": expected a table");
+  }
+  return out;
+}
+
+void TomlReader::finish() {
+  for (const auto &[key, node] : Table)
+    if (!Known.contains(key.str()))
+      Faults.add(chicory::placeOf(node, File),
+                 "unknown key \"" + std::string(key.str()) + "\"");
+}
+
+} // namespace chicory
--- /dev/null
+++ b/lib/core/Authority.cpp
@@ -0,0 +1,151 @@
+#include "chicorybank/core/Authority.h"
+
+#include "chicorybank/core/Rendezvous.h"
+
+#include <algorithm>
+
+namespace chicory {
+
+namespace {
+
+bool contains(const std::vector<InstanceId> &ids, InstanceId id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+size_t majorityOf(const std::vector<InstanceId> &ids) {
+  return ids.size() / 2 + 1;
+}
+
+} // namespace
+
+Authority::Authority(InstanceId self, Time startedAt, AuthorityOptions options)
+    : Self(self), StartedAt(startedAt), Options(options) {
+  Transitions.push_back({.LearnedAt = startedAt});
+}
+
+bool Authority::learn(const MembersDocument &document, Time now) {
+  if (document.Version <= this->document().Version)
+    return false;
+  Transitions.push_back({.Document = document, .LearnedAt = now});
+  if (Transitions.size() > TransitionsKept)
+    Transitions.pop_front();
+  noteMovedOn(Transitions.back(), Self, now);
+  for (const auto &[id, grant] : Grants)
+    if (grant.Version >= document.Version)
+      noteMovedOn(Transitions.back(), id, now);
+  return true;
+}
+
+void Authority::noteMovedOn(Transition &transition, InstanceId member,
+                            Time now) {
+  const std::vector<InstanceId> &previous = transition.Document.Previous;
+  if (!contains(previous, member))
+    return;
+  transition.MovedOn.try_emplace(member, now);
+  if (transition.MovedOn.size() >= majorityOf(previous) &&
+      !transition.MajorityMovedOn)
+    transition.MajorityMovedOn = now;
+}
+
+void Authority::heard(InstanceId from, MembersVersion version,
+                      std::optional<Time> echoedAt, Time now) {
+  for (Transition &it : Transitions)
+    if (version >= it.Document.Version)
+      noteMovedOn(it, from, now);
+  Grant &grant = Grants[from];
+  if (version > grant.Version)
+    grant = {.Version = version, .Until = Time{}};
+  if (version == grant.Version && echoedAt)
+    grant.Until = std::max(grant.Until, *echoedAt + Options.LeaseTime);
+}
+
+Time Authority::leaseUntil() const {
+  const MembersDocument &doc = document();
+  if (!contains(doc.Members, Self))
+    return Time{};
+  // This instance's own word holds for as long as the others' does.
+  size_t needed = majorityOf(doc.Members) - 1;
+  if (needed == 0)
+    return Time::max();
+  std::vector<Time> until;
+  for (const auto &[id, grant] : Grants)
+    if (id != Self && grant.Version == doc.Version && contains(doc.Members, id))
+      until.push_back(grant.Until);
+  if (until.size() < needed)
+    return Time{};
+  std::sort(until.begin(), until.end(), std::greater<>());
+  return until[needed - 1];
+}
+
+std::optional<Time> Authority::handedOverAt(const Transition &transition,
+                                            InstanceId previousOwner,
+                                            Time now) const {
+  if (auto it = transition.MovedOn.find(previousOwner);
+      it != transition.MovedOn.end())
+    return it->second;
+  if (!transition.MajorityMovedOn)
+    return std::nullopt;
+  Time retired =
+      *transition.MajorityMovedOn + Options.LeaseTime + Options.LeaseMargin;
+  return retired <= now ? std::optional(retired) : std::nullopt;
+}
+
+bool Authority::previousRetired(Time now) const {
+  const Transition &last = Transitions.back();
+  return std::all_of(
+      last.Document.Previous.begin(), last.Document.Previous.end(),
+      [&](InstanceId id) { return handedOverAt(last, id, now).has_value(); });
+}
+
+OwnershipView Authority::tenure(uint64_t flowHash, size_t newest,
+                                Time now) const {
+  OwnershipView out{.Owner = Self, .Settled = true, .OwnedSince = StartedAt};
+  // Walk back to the transition that moved the flow to this instance.
+  for (size_t i = newest; i > 0; --i) {
+    const Transition &it = Transitions[i];
+    const MembersDocument &older = Transitions[i - 1].Document;
+    InstanceId before = rendezvousFirst(flowHash, it.Document.Previous);
+    if (before != Self && before != InstanceId{}) {
+      std::optional<Time> at = handedOverAt(it, before, now);
+      out.PreviousOwner = before;
+      out.Settled = at.has_value();
+      out.OwnedSince = std::max(StartedAt, at.value_or(now));
+      return out;
+    }
+    // Documents were missed in between. Each was written only after the one
+    // before its predecessor was void, so all that was missed is void now.
+    bool missed = it.Document.Version.Value != older.Version.Value + 1;
+    if (missed && rendezvousFirst(flowHash, older.Members) != Self) {
+      out.OwnedSince = std::max(StartedAt, it.LearnedAt);
+      return out;
+    }
+  }
+  out.OwnedSince = std::max(StartedAt, Transitions.front().LearnedAt);
+  return out;
+}
+
+OwnershipView Authority::view(uint64_t flowHash, Time now) const {
+  const MembersDocument &doc = document();
+  InstanceId owner = rendezvousFirst(flowHash, doc.Members);
+  OwnershipView out{.Owner = owner};
+  if (owner == Self)
+    out = tenure(flowHash, Transitions.size() - 1, now);
+  else
+    out.PreviousOwner = rendezvousFirst(flowHash, doc.Previous);
+  out.LeaseUntil = leaseUntil();
+  return out;
+}
+
+std::optional<OwnershipView> Authority::formerTenure(uint64_t flowHash,
+                                                     Time now) const {
+  if (rendezvousFirst(flowHash, document().Members) == Self)
+    return std::nullopt;
+  for (size_t i = Transitions.size(); i-- > 0;) {
+    const MembersDocument &it = Transitions[i].Document;
+    if (rendezvousFirst(flowHash, it.Members) == Self)
+      return tenure(flowHash, i, now);
+  }
+  return std::nullopt;
+}
+
+} // namespace chicory
--- /dev/null
+++ b/lib/core/FlowPath.cpp
@@ -0,0 +1,328 @@
+#include "FlowPath.h"
+
+namespace chicory {
+
+namespace {
+
+// How many former homes are asked for a pin.
+constexpr size_t PeersToAsk = 3;
+// A sweep of the whole table takes about this many ticks.
+constexpr size_t SweepTicks = 500;
+
+uint32_t seconds(Time now) {
+  return static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch())
+          .count());
+}
+
+} // namespace
+
+FlowPath::FlowPath(CoreState &state)
+    : Shared(state), Flows(state.Options.Flows.MaxFlows) {}
+
+void FlowPath::packet(const PacketInFlight &packet, Time now,
+                      Actions &actions) {
+  if (packet.Content.ToCaller)
+    fromTarget(packet, now, actions);
+  else
+    fromCaller(packet, now, actions);
+}
+
+void FlowPath::fromCaller(const PacketInFlight &packet, Time now,
+                          Actions &actions) {
+  const FlowKey &flow = packet.Content.Flow;
+  if (FlowPin *found = Flows.find(flow)) {
+    if (found->Tentative)
+      parkTentative(packet);
+    relayToTarget(*found, packet, now, actions);
+    if (packet.Content.Kind == PacketKind::Close ||
+        packet.Content.Kind == PacketKind::Reset)
+      unpin(flow);
+    return;
+  }
+  if (packet.Content.Kind == PacketKind::Open)
+    open(packet, now, actions);
+  else
+    recover(packet, now, actions);
+}
+
+void FlowPath::parkTentative(const PacketInFlight &packet) {
+  // The target may yet reject the flow; the next one gets this packet too.
+  auto it = Recoveries.find(packet.Content.Flow);
+  bool room = it != Recoveries.end() &&
+              it->second.Parked.size() < Shared.Options.Flows.MaxParkedPackets;
+  if (room)
+    it->second.Parked.push_back(packet);
+}
+
+void FlowPath::relayToTarget(FlowPin &pin, const PacketInFlight &packet,
+                             Time now, Actions &actions) {
+  pin.LastFromCaller = seconds(now);
+  if (pin.Unanswered < UINT8_MAX)
+    ++pin.Unanswered;
+  Shared.sendToTarget(pin.PinnedTarget, packet, actions);
+}
+
+void FlowPath::open(const PacketInFlight &packet, Time now, Actions &actions) {
+  const FlowKey &flow = packet.Content.Flow;
+  const CompiledRules *rules = Shared.History.newest();
+  if (rules == nullptr)
+    return refuseFlow(flow, Reason::NoRules, actions);
+  const Rule *rule = rules->match(flow);
+  if (rule == nullptr)
+    return refuseFlow(flow, Reason::NoMatch, actions);
+  const Service *service = rules->service(rule->Service);
+  if (service == nullptr)
+    return refuseFlow(flow, Reason::RuleRefuses, actions);
+  if (Flows.size() == Flows.capacity())
+    return refuseFlow(flow, Reason::FlowTableFull, actions);
+  std::optional<TargetId> target = Shared.Book.chooseForFlow(
+      *service, hashFlow(flow), Shared.Members.homes().size(), now);
+  if (!target)
+    return refuseFlow(flow, Reason::NoTarget, actions);
+  FlowPin *fresh = pin(flow, *target, service->Id, now);
+  ++Shared.Stats.FlowsOpened;
+  relayToTarget(*fresh, packet, now, actions);
+}
+
+void FlowPath::refuseFlow(const FlowKey &flow, Reason why, Actions &actions) {
+  Shared.refuse(why);
+  PacketInFlight reset = barePacket(PacketKind::Reset, flow, true);
+  reset.Content.Why = why;
+  Shared.sendToCaller(reset, actions);
+}
+
+FlowPin *FlowPath::pin(const FlowKey &flow, TargetId target, ServiceId service,
+                       Time now) {
+  FlowPin *fresh = Flows.insert(flow);
+  if (fresh == nullptr)
+    return nullptr;
+  fresh->PinnedTarget = target;
+  fresh->Service = service;
+  fresh->LastFromCaller = seconds(now);
+  fresh->LastFromTarget = seconds(now);
+  Shared.Book.flowPinned(target, service);
+  return fresh;
+}
+
+void FlowPath::unpin(const FlowKey &flow) {
+  if (const FlowPin *found = Flows.find(flow)) {
+    Shared.Book.flowEnded(found->PinnedTarget);
+    Flows.erase(flow);
+  }
+}
+
+void FlowPath::fromTarget(const PacketInFlight &packet, Time now,
+                          Actions &actions) {
+  const FlowKey &flow = packet.Content.Flow;
+  PacketKind kind = packet.Content.Kind;
+  Shared.Book.heard(packet.From, now);
+  if (kind == PacketKind::Reset && rejected(packet, now, actions))
+    return;
+  FlowPin *found = Flows.find(flow);
+  if (found == nullptr || found->Tentative) {
+    // Only a target that has the flow sends for it: this is the pin.
+    ServiceId service = Shared.History.serviceOfTarget(packet.From);
+    if (service == ServiceId{})
+      return Shared.refuse(Reason::ForeignSource);
+    if (kind == PacketKind::Data) {
+      ++Shared.Stats.FlowsRecoveredByTarget;
+      recovered(flow, packet.From, service, now, actions);
+      found = Flows.find(flow);
+    }
+  } else if (found->PinnedTarget != packet.From) {
+    return Shared.refuse(Reason::ForeignSource);
+  }
+  if (found != nullptr) {
+    found->LastFromTarget = seconds(now);
+    found->Unanswered = 0;
+  }
+  Shared.sendToCaller(packet, actions);
+  if (kind == PacketKind::Close || kind == PacketKind::Reset)
+    unpin(flow);
+}
+
+bool FlowPath::rejected(const PacketInFlight &packet, Time now,
+                        Actions &actions) {
+  const FlowKey &flow = packet.Content.Flow;
+  FlowPin *found = Flows.find(flow);
+  auto it = Recoveries.find(flow);
+  bool trying = found != nullptr && found->Tentative && it != Recoveries.end();
+  if (!trying)
+    // A reset from a target that does not hold the flow is a late rejection.
+    return found == nullptr || found->PinnedTarget != packet.From;
+  if (found->PinnedTarget != packet.From)
+    return true;
+  unpin(flow);
+  if (!tryNext(flow, it->second, now, actions)) {
+    Recoveries.erase(it);
+    refuseFlow(flow, Reason::UnknownFlow, actions);
+  }
+  return true;
+}
+
+void FlowPath::recover(const PacketInFlight &packet, Time now,
+                       Actions &actions) {
+  const FlowKey &flow = packet.Content.Flow;
+  const FlowOptions &options = Shared.Options.Flows;
+  auto it = Recoveries.find(flow);
+  if (it != Recoveries.end()) {
+    if (it->second.Parked.size() < options.MaxParkedPackets)
+      it->second.Parked.push_back(packet);
+    else
+      Shared.refuse(Reason::RecoveryBufferFull);
+    return;
+  }
+  if (Recoveries.size() >= options.MaxRecoveries)
+    return Shared.refuse(Reason::RecoveryBufferFull);
+  Recovery &recovery = Recoveries[flow];
+  recovery.Parked.push_back(packet);
+  recovery.Deadline = now + options.AskTimeout;
+  std::vector<InstanceId> peers =
+      rendezvousOrder(hashFlow(flow), Shared.Members.homes(), PeersToAsk + 1);
+  std::erase(peers, Shared.self());
+  const std::vector<InstanceId> &leaving = Shared.Members.leaving();
+  peers.insert(peers.end(), leaving.begin(), leaving.end());
+  for (InstanceId peer : peers)
+    actions.emplace_back(
+        SendQuery{.To = peer,
+                  .Message = FlowQuery{.Flow = flow, .Asker = Shared.self()}});
+  recovery.PeersAsked = peers.size();
+  if (peers.empty())
+    startTrying(flow, recovery, now, actions);
+}
+
+void FlowPath::query(const FlowQuery &query, Actions &actions) {
+  FlowReply reply{.Flow = query.Flow, .Replier = Shared.self()};
+  const FlowPin *found = Flows.find(query.Flow);
+  if (found != nullptr && !found->Tentative) {
+    reply.Result = QueryResult::Seen;
+    reply.Target = found->PinnedTarget;
+    reply.Service = found->Service;
+  }
+  actions.emplace_back(SendQuery{.To = query.Asker, .Message = reply});
+}
+
+void FlowPath::reply(const FlowReply &reply, Time now, Actions &actions) {
+  auto it = Recoveries.find(reply.Flow);
+  if (it == Recoveries.end() || it->second.PeersAsked == 0)
+    return;
+  if (reply.Result == QueryResult::Seen) {
+    ++Shared.Stats.FlowsRecoveredByPeer;
+    return recovered(reply.Flow, reply.Target, reply.Service, now, actions);
+  }
+  if (--it->second.PeersAsked == 0)
+    startTrying(reply.Flow, it->second, now, actions);
+}
+
+void FlowPath::startTrying(const FlowKey &flow, Recovery &recovery, Time now,
+                           Actions &actions) {
+  recovery.PeersAsked = 0;
+  std::vector<ServiceId> services = Shared.History.servicesOf(flow);
+  // Trying a target of the wrong service would carry a packet to a service
+  // that it was not meant for. Wait for the target that has the flow to send.
+  if (services.size() > 1) {
+    Shared.refuse(Reason::AmbiguousService);
+    Recoveries.erase(flow);
+    return;
+  }
+  if (services.empty()) {
+    Recoveries.erase(flow);
+    return refuseFlow(flow, Reason::UnknownFlow, actions);
+  }
+  std::vector<TargetId> targets = Shared.History.targetsOf(services.front());
+  recovery.Candidates =
+      rendezvousOrder(hashFlow(flow), std::span(std::as_const(targets)),
+                      Shared.Options.Flows.MaxTries);
+  if (!tryNext(flow, recovery, now, actions)) {
+    Recoveries.erase(flow);
+    refuseFlow(flow, Reason::RecoveryFailed, actions);
+  }
+}
+
+bool FlowPath::tryNext(const FlowKey &flow, Recovery &recovery, Time now,
+                       Actions &actions) {
+  if (recovery.NextCandidate == recovery.Candidates.size())
+    return false;
+  TargetId target = recovery.Candidates[recovery.NextCandidate++];
+  FlowPin *fresh =
+      pin(flow, target, Shared.History.serviceOfTarget(target), now);
+  if (fresh == nullptr)
+    return false;
+  fresh->Tentative = true;
+  ++Shared.Stats.RecoveryTries;
+  recovery.Deadline = now + Shared.Options.Flows.TryTimeout;
+  for (const PacketInFlight &it : recovery.Parked)
+    relayToTarget(*fresh, it, now, actions);
+  return true;
+}
+
+void FlowPath::recovered(const FlowKey &flow, TargetId target,
+                         ServiceId service, Time now, Actions &actions) {
+  FlowPin *found = Flows.find(flow);
+  bool sameTarget = found != nullptr && found->PinnedTarget == target;
+  if (!sameTarget) {
+    unpin(flow);
+    found = pin(flow, target, service, now);
+  }
+  auto it = Recoveries.find(flow);
+  if (found == nullptr) {
+    Shared.refuse(Reason::FlowTableFull);
+  } else {
+    found->Tentative = false;
+    // What was sent to this target as a try has reached it.
+    if (it != Recoveries.end() && !sameTarget)
+      for (const PacketInFlight &parked : it->second.Parked)
+        relayToTarget(*found, parked, now, actions);
+  }
+  if (it != Recoveries.end())
+    Recoveries.erase(it);
+}
+
+bool FlowPath::expired(const FlowPin &pin, Time now, Actions &actions) {
+  const FlowOptions &options = Shared.Options.Flows;
+  auto idleFor = std::chrono::seconds(
+      seconds(now) - std::max(pin.LastFromCaller, pin.LastFromTarget));
+  if (idleFor > options.IdleTimeout) {
+    Shared.Book.flowEnded(pin.PinnedTarget);
+    return true;
+  }
+  // A flow is silent when its caller goes on and its target does not, while
+  // the target's other flows live: something in between has forgotten the
+  // flow. Both ends are told, so that the caller opens a new one.
+  const TargetState *target = Shared.Book.find(pin.PinnedTarget);
+  auto silentFor = std::chrono::seconds(
+      pin.LastFromCaller - std::min(pin.LastFromTarget, pin.LastFromCaller));
+  bool silent = pin.Unanswered >= options.SilentAfterPackets &&
+                silentFor >= options.SilentAfter && target != nullptr &&
+                now - target->LastHeard < options.SilentAfter / 2;
+  if (!silent)
+    return false;
+  PacketInFlight reset = barePacket(PacketKind::Reset, pin.key(), false);
+  reset.Content.Why = Reason::FlowSilent;
+  Shared.sendToTarget(pin.PinnedTarget, reset, actions);
+  refuseFlow(pin.key(), Reason::FlowSilent, actions);
+  Shared.Book.flowEnded(pin.PinnedTarget);
+  return true;
+}
+
+void FlowPath::tick(Time now, Actions &actions) {
+  Flows.sweep(Flows.capacity() / SweepTicks + 1,
+              [&](const FlowPin &it) { return expired(it, now, actions); });
+  for (auto it = Recoveries.begin(); it != Recoveries.end();) {
+    // The calls below may erase the entry.
+    auto current = it++;
+    if (current->second.Deadline > now)
+      continue;
+    if (current->second.PeersAsked > 0) {
+      startTrying(FlowKey(current->first), current->second, now, actions);
+      continue;
+    }
+    // The last target that was tried did not reject the flow: it has it.
+    if (FlowPin *found = Flows.find(current->first))
+      found->Tentative = false;
+    Recoveries.erase(current);
+  }
+}
+
+} // namespace chicory
--- /dev/null
+++ b/lib/core/Membership.cpp
@@ -0,0 +1,136 @@
+#include "chicorybank/core/Membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicory {
+
+Membership::Membership(InstanceInfo self, uint64_t incarnation,
+                       MembershipOptions options)
+    : Self(std::move(self)), Incarnation(incarnation), Options(options) {}
+
+void Membership::setState(InstanceState state) {
+  State = state;
+  rebuild(LastUpdate);
+}
+
+void Membership::introduce(const InstanceInfo &info, Time now) {
+  if (info.Id == Self.Id || info.Id == InstanceId{})
+    return;
+  auto [it, fresh] = Peers.try_emplace(info.Id);
+  if (!fresh)
+    return;
+  it->second.Info = info;
+  it->second.KnownSince = now;
+}
+
+bool Membership::heard(const Heartbeat &heartbeat, Time now) {
+  if (heartbeat.Sender.Id == Self.Id)
+    return false;
+  introduce(heartbeat.Sender, now);
+  Peer &peer = Peers[heartbeat.Sender.Id];
+  bool sameLife = peer.Incarnation == heartbeat.Incarnation;
+  if (sameLife && heartbeat.Sequence <= peer.LastSequence)
+    return false;
+  peer.Info = heartbeat.Sender;
+  peer.Incarnation = heartbeat.Incarnation;
+  peer.LastSequence = heartbeat.Sequence;
+  peer.State = heartbeat.State;
+  peer.Rules = heartbeat.Rules;
+  peer.Members = heartbeat.Members;
+  peer.Hears = heartbeat.Hears;
+  peer.LastHeard = now;
+  peer.Refused = false;
+  rebuild(now);
+  return true;
+}
+
+void Membership::refused(InstanceId id) {
+  auto it = Peers.find(id);
+  if (it == Peers.end() || !it->second.LastHeard)
+    return;
+  it->second.Refused = true;
+  rebuild(LastUpdate);
+}
+
+void Membership::update(Time now) {
+  // After a pause of this very process every peer looks silent, and it would
+  // take itself for everyone's home. Its own silence is not theirs: they get
+  // the time to be heard again. Leases are not extended (see `Authority`).
+  Duration gap = now - LastUpdate;
+  if (LastUpdate != Time{} && gap > Options.HeartbeatInterval)
+    for (auto &[id, peer] : Peers)
+      if (peer.LastHeard)
+        *peer.LastHeard += gap;
+  std::erase_if(Peers, [&](const auto &entry) {
+    const Peer &peer = entry.second;
+    return now - peer.LastHeard.value_or(peer.KnownSince) > Options.ForgetAfter;
+  });
+  rebuild(now);
+}
+
+void Membership::rebuild(Time now) {
+  LastUpdate = now;
+  Homes.clear();
+  LeavingPeers.clear();
+  if (State == InstanceState::Live)
+    Homes.push_back(Self.Id);
+  for (const auto &[id, peer] : Peers) {
+    if (!hears(id, now))
+      continue;
+    if (peer.State == InstanceState::Live)
+      Homes.push_back(id);
+    else if (peer.State == InstanceState::Leaving)
+      LeavingPeers.push_back(id);
+  }
+  std::sort(Homes.begin(), Homes.end());
+}
+
+Heartbeat Membership::nextHeartbeat(Time now) {
+  ++Sequence;
+  SentTimes[Sequence % SentTimesKept] = now;
+  return {.Sender = Self,
+          .Incarnation = Incarnation,
+          .Sequence = Sequence,
+          .State = State,
+          .Hears = heardPeers(now)};
+}
+
+std::optional<Time> Membership::sentAt(uint64_t sequence) const {
+  bool remembered = sequence != 0 && sequence <= Sequence &&
+                    Sequence - sequence < SentTimesKept;
+  if (!remembered)
+    return std::nullopt;
+  return SentTimes[sequence % SentTimesKept];
+}
+
+bool Membership::hears(InstanceId id, Time now) const {
+  const Peer *peer = find(id);
+  return peer != nullptr && peer->LastHeard && !peer->Refused &&
+         now - *peer->LastHeard <= Options.SuspectAfter;
+}
+
+std::vector<InstanceId> Membership::heardPeers(Time now) const {
+  std::vector<InstanceId> out;
+  for (const auto &[id, peer] : Peers)
+    if (hears(id, now))
+      out.push_back(id);
+  return out;
+}
+
+bool Membership::confirmedSilent(InstanceId id, Time now) const {
+  if (hears(id, now))
+    return false;
+  return std::none_of(Peers.begin(), Peers.end(), [&](const auto &entry) {
+    const std::vector<InstanceId> &theirs = entry.second.Hears;
+    return hears(entry.first, now) &&
+           std::find(theirs.begin(), theirs.end(), id) != theirs.end();
+  });
+}
+
+const Peer *Membership::find(InstanceId id) const {
+  auto it = Peers.find(id);
+  return it == Peers.end() ? nullptr : &it->second;
+}
+
+} // namespace chicory
--- /dev/null
+++ b/lib/core/RequestPath.h
@@ -0,0 +1,157 @@
+// Requests at the instance that owns their flow.
+
+#ifndef CHICORYBANK_LIB_CORE_REQUESTPATH_H
+#define CHICORYBANK_LIB_CORE_REQUESTPATH_H
+
+#include "CoreState.h"
+#include "FlowPath.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace chicory {
+
+/// Names a request: ids are unique on their flow only.
+struct RequestKey {
+  FlowKey Flow;
+  RequestId Request;
+
+  auto operator<=>(const RequestKey &) const = default;
+};
+
+/// The previous owner was asked whether it has seen the request.
+struct AskingPrevious {};
+/// Waits for a slot.
+struct Queued {};
+/// Waits before it is tried again. Evidence that it may be: the target that
+/// had it has said that it did not run it, or the request is idempotent.
+struct BackingOff {};
+/// A target has it. `AnsweredBy` is set with the first part of the answer, so
+/// that parts of two answers are never mixed.
+struct Running {
+  TargetId At;
+  Time SentAt;
+  std::optional<TargetId> AnsweredBy;
+};
+/// The answer of a request that another instance had sent.
+struct Adopted {
+  TargetId AnsweredBy;
+};
+/// The caller got the whole answer.
+struct Answered {};
+/// The caller was told that there is no answer.
+struct RefusedState {
+  RefusedOutcome Outcome = RefusedOutcome::NotRun;
+  Reason Why = Reason::None;
+  Duration RetryAfter{};
+};
+
+/// The life of a request. It goes from top to bottom, with one way back: from
+/// Running through BackingOff to Queued.
+using RequestLife = std::variant<AskingPrevious, Queued, BackingOff, Running,
+                                 Adopted, Answered, RefusedState>;
+
+/// Decides on requests. docs/design/at-most-once.md and overload.md tell why.
+class RequestPath {
+public:
+  RequestPath(CoreState &state, FlowPath &flows);
+
+  /// A request of a caller.
+  void request(const PacketInFlight &packet, uint8_t hops, Time now,
+               Actions &actions);
+  /// The caller no longer waits.
+  void cancel(const Packet &packet, Time now, Actions &actions);
+  /// The caller has closed a flow: nobody waits for its requests.
+  void flowClosed(const FlowKey &flow, Time now, Actions &actions);
+  /// An Answer, Refused or Reset of a target.
+  void fromTarget(const PacketInFlight &packet, uint8_t hops, Time now,
+                  Actions &actions);
+  /// A later owner asks whether a request was seen here.
+  void query(const FlowQuery &query, Time now, Actions &actions);
+  /// A former owner has answered.
+  void reply(const FlowReply &reply, Time now, Actions &actions);
+  /// Time passes.
+  void tick(Time now, Actions &actions);
+
+  size_t size() const { return Records.size(); }
+  size_t queued() const { return QueuedCount; }
+  /// How many requests have no outcome yet.
+  size_t unfinished() const { return Unfinished; }
+
+private:
+  struct Record {
+    PacketInFlight Request;
+    Time Deadline;
+    RequestLife Life;
+    /// No other instance can run it: "not run" may be said.
+    bool Sole = false;
+    /// A target that had it fell silent: "not run" can't be said any more.
+    bool MayHaveRun = false;
+    ServiceId Service;
+    std::vector<TargetId> Tried;
+    /// The parts of the answer, by their number.
+    std::map<uint32_t, QByteArray> Parts;
+    std::optional<uint32_t> LastPart;
+    size_t CachedBytes = 0;
+    Time TimerAt;
+  };
+  using RecordMap = std::map<RequestKey, Record>;
+  using Entry = RecordMap::iterator;
+
+  /// What admission found out about who may act.
+  struct Standing {
+    bool Sole = false;
+    Reason Why = Reason::None;
+    /// Set where a former owner can tell whether the request was seen.
+    InstanceId Ask;
+    Duration RetryAfter{};
+  };
+
+  Standing standing(const FlowKey &flow, Time deadline, Time now) const;
+  bool passToFormerOwner(const PacketInFlight &packet, uint8_t hops, Time now,
+                         Actions &actions);
+  Entry add(const PacketInFlight &packet, Time deadline);
+  void admit(Entry entry, Time now, Actions &actions);
+  ServiceId serviceFor(const FlowKey &flow, Reason &why);
+  bool waitTooLong(const Service &service, Time deadline, Time now,
+                   Duration &wait) const;
+  void enqueue(Entry entry, bool first, Time now);
+  void dispatch(ServiceId service, Time now, Actions &actions);
+  void send(Entry entry, TargetId target, Time now, Actions &actions);
+  void answerPart(Entry entry, const PacketInFlight &packet, Time now,
+                  Actions &actions);
+  void adopt(const PacketInFlight &packet, Time now, Actions &actions);
+  void refusedByTarget(Entry entry, const PacketInFlight &packet, Time now,
+                       Actions &actions);
+  void retryOrRefuse(Entry entry, Reason why, Time now, Actions &actions);
+  void finish(Entry entry, RefusedState how, Time now, Actions &actions);
+  void finishAnswered(Entry entry, Time now, Actions &actions);
+  void sendCancel(const RequestKey &key, TargetId target, Actions &actions);
+  void release(Entry entry, RequestEnd how, Time now);
+  void repeatOutcome(const Record &record, Actions &actions);
+  void refuseStateless(const Packet &request, RefusedState how,
+                       Actions &actions);
+  void tellRefused(const FlowKey &flow, RequestId request,
+                   const RefusedState &how, Actions &actions);
+  void abandon(Entry entry, Time now, Actions &actions);
+  void timer(Entry entry, Time now, Actions &actions);
+  void setTimer(Entry entry, Time at);
+  void setLife(Entry entry, RequestLife life);
+  void erase(Entry entry);
+  const Service *serviceOf(ServiceId id) const;
+
+  CoreState &Shared;
+  FlowPath &Flows;
+  RecordMap Records;
+  std::set<std::pair<Time, RequestKey>> Timers;
+  std::map<ServiceId, std::deque<RequestKey>> Queues;
+  size_t QueuedCount = 0;
+  size_t Unfinished = 0;
+  size_t CachedBytes = 0;
+  double RetryTokens;
+};
+
+} // namespace chicory
+
+#endif
--- /dev/null
+++ b/lib/daemon/Daemon.cpp
@@ -0,0 +1,295 @@
+#include "chicorybank/daemon/Daemon.h"
+
+#include "Admin.h"
+#include "Clock.h"
+#include "Journal.h"
+#include "PacketEdge.h"
+#include "PlatformDuty.h"
+
+#include "chicorybank/core/Rendezvous.h"
+#include "chicorybank/peer/Transport.h"
+
+#include <random>
+
+namespace chicory {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(5);
+constexpr Duration WatchCheckInterval = std::chrono::seconds(1);
+// How many instances of a zone watch the platform.
+constexpr size_t WatchersPerZone = 1;
+// Packet batches that are handled before other rings get a turn.
+constexpr int BatchesPerTurn = 16;
+
+} // namespace
+
+/// All parts of a daemon, and the visitor that carries out actions.
+class Daemon::Shell {
+public:
+  explicit Shell(Settings settings);
+
+  tl::expected<void, std::string> start();
+  void run(const std::atomic<bool> &stopAsked);
+
+  // The visitor of actions.
+  void operator()(const SendPacket &action);
+  void operator()(const PassOn &action);
+  void operator()(const SendQuery &action);
+  void operator()(const SendHeartbeat &action) {
+    Peers.send(action.To, action.Message);
+  }
+  void operator()(const PullRules &action) {
+    Peers.send(action.From, Store.request(Config.Self));
+  }
+  void operator()(const WriteMembers &action) {
+    Platform.write(action.Document);
+  }
+  void operator()(const Note &action) {
+    Events.note(action.Event, action.Detail);
+  }
+  void operator()(const SafeToStop & /*action*/) { Done = true; }
+
+private:
+  CoreOptions coreOptions();
+  TransportCallbacks callbacks();
+  void handle(const Event &event);
+  void carryOut();
+  void onControl(ControlMessage message);
+  void pushPeerEvent(Event event);
+  void learnFromPeer(const RuleDocument &document);
+  void drainRings();
+  void chooseWatcher();
+  void checkControlBudget();
+  bool withinBudget() const { return BytesThisSecond <= ControlBurstBytes; }
+  ShellFigures figures() const;
+
+  /// A pull of rules may burst above the rate; what is above this waits.
+  static constexpr uint64_t ControlBurstBytes = 1 << 20;
+
+  Settings Config;
+  PeerKey Key;
+  CoreRings Rings;
+  ShellCounters Counters;
+  Journal Events;
+  RuleStore Store;
+  FileDescriptor Socket;
+  PacketReceiver Receiver;
+  PacketSender Sender;
+  Transport Peers;
+  PlatformDuty Platform;
+  AdminServer Admin;
+  Core Decisions;
+  Actions Pending;
+  Time NextTick;
+  Time NextWatchCheck;
+  std::atomic<bool> Watching = true;
+  uint64_t BytesBefore = 0;
+  std::atomic<uint64_t> BytesThisSecond = 0;
+  bool Done = false;
+};
+
+Daemon::Shell::Shell(Settings settings)
+    : Config(std::move(settings)), Key(Config.PeerSecret),
+      Events(Config.Self.Id.Value, Config.LogLevel),
+      Receiver(Socket, Key, Rings, Counters), Sender(Socket),
+      Peers({.Listen = Config.ListenPeers, .Secret = Config.PeerSecret},
+            callbacks()),
+      Platform(Config, Store, Rings, Counters),
+      Admin(Config.Self.Admin, Rings, Counters, Events,
+            [this] { return figures(); }),
+      Decisions(coreOptions(), bootTimeNow()) {}
+
+CoreOptions Daemon::Shell::coreOptions() {
+  std::random_device random;
+  CoreOptions out = Config.Core;
+  out.Self = Config.Self;
+  out.Incarnation = (uint64_t{random()} << 31) | 1;
+  out.Seed = random();
+  out.EpochMs = bootEpochMs();
+  return out;
+}
+
+TransportCallbacks Daemon::Shell::callbacks() {
+  return {.Message = [this](ControlMessage it) { onControl(std::move(it)); },
+          .Refused =
+              [this](InstanceId id) { pushPeerEvent(PeerRefused{.Peer = id}); },
+          .Fault = [this](Reason why) { Counters.refuse(why); }};
+}
+
+void Daemon::Shell::pushPeerEvent(Event event) {
+  if (!Rings.Peers.try_enqueue(std::move(event)))
+    Counters.refuse(Reason::RingFull);
+}
+
+// Runs on the peers' thread.
+void Daemon::Shell::onControl(ControlMessage message) {
+  if (auto *heartbeat = std::get_if<Heartbeat>(&message))
+    return pushPeerEvent(HeartbeatArrived{.Message = std::move(*heartbeat)});
+  if (auto *document = std::get_if<RuleDocument>(&message))
+    return learnFromPeer(*document);
+  // Sent from the core's thread, which alone may use the transport's ring.
+  auto request = std::get<RuleRequest>(std::move(message));
+  std::lock_guard lock(Rings.TaskLock);
+  bool queued = Rings.AdminTasks.try_enqueue([this, request](Core &, Time) {
+    if (withinBudget())
+      Peers.send(request.Sender, Store.answer(request));
+    else
+      Counters.refuse(Reason::ControlBudget);
+  });
+  if (!queued)
+    Counters.refuse(Reason::RingFull);
+}
+
+// Runs on the peers' thread: rule sets are compiled there, not on the core's.
+void Daemon::Shell::learnFromPeer(const RuleDocument &document) {
+  auto rules = Store.learn(document.Manifest, document.Pages);
+  if (!rules)
+    Counters.refuse(Reason::BadPeerMessage);
+  else if (*rules)
+    pushPeerEvent(RulesLearned{.Rules = *rules});
+}
+
+tl::expected<void, std::string> Daemon::Shell::start() {
+  auto socket = bindUdp(Config.ListenPackets);
+  if (!socket)
+    return tl::make_unexpected(socket.error());
+  Socket = std::move(*socket);
+  if (auto started = Peers.start(); !started)
+    return started;
+  if (auto started = Admin.start(); !started)
+    return started;
+  Receiver.start();
+  Platform.start();
+  handle(InstancesNamed{.Instances = Config.Seeds});
+  Events.note("started", formatAddress(Config.ListenPackets));
+  return {};
+}
+
+void Daemon::Shell::handle(const Event &event) {
+  Decisions.handle(event, bootTimeNow(), Pending);
+  carryOut();
+}
+
+void Daemon::Shell::carryOut() {
+  for (const Action &it : Pending)
+    std::visit(*this, it);
+  Pending.clear();
+}
+
+void Daemon::Shell::operator()(const SendPacket &action) {
+  Sender.add(action.To.value_or(Config.Fabric),
+             action.Datagram.isEmpty() ? encodePacket(action.Content)
+                                       : action.Datagram);
+}
+
+void Daemon::Shell::operator()(const PassOn &action) {
+  const Peer *peer = Decisions.membership().find(action.To);
+  if (peer == nullptr)
+    return Counters.refuse(Reason::PeerUnreachable);
+  PassedOnArrived message{
+      .Packet = action.Packet, .Hops = action.Hops, .Rules = action.Rules};
+  Sender.add(peer->Info.Packets,
+             encodePeerDatagram(message, Config.Self.Id, Key));
+}
+
+void Daemon::Shell::operator()(const SendQuery &action) {
+  const Peer *peer = Decisions.membership().find(action.To);
+  if (peer == nullptr)
+    return Counters.refuse(Reason::PeerUnreachable);
+  PeerDatagram message = std::visit(
+      [](const auto &it) { return PeerDatagram(it); }, action.Message);
+  Sender.add(peer->Info.Packets,
+             encodePeerDatagram(message, Config.Self.Id, Key));
+}
+
+void Daemon::Shell::drainRings() {
+  Event event = Tick{};
+  for (auto *ring : {&Rings.Peers, &Rings.PlatformWatch, &Rings.PlatformCalls})
+    while (ring->try_dequeue(event))
+      handle(event);
+  CoreTask task;
+  while (Rings.AdminTasks.try_dequeue(task))
+    task(Decisions, bootTimeNow());
+}
+
+void Daemon::Shell::run(const std::atomic<bool> &stopAsked) {
+  EventBatch batch;
+  bool stopping = false;
+  while (!Done) {
+    int batches = 0;
+    bool got = Rings.Packets.wait_dequeue_timed(batch, TickInterval.count());
+    while (got) {
+      for (const Event &it : batch)
+        Decisions.handle(it, bootTimeNow(), Pending);
+      carryOut();
+      got = ++batches < BatchesPerTurn && Rings.Packets.try_dequeue(batch);
+    }
+    drainRings();
+    if (stopAsked && !stopping) {
+      stopping = true;
+      handle(StopRequested{});
+    }
+    Time now = bootTimeNow();
+    if (now >= NextTick) {
+      NextTick = now + TickInterval;
+      handle(Tick{});
+    }
+    if (now >= NextWatchCheck) {
+      NextWatchCheck = now + WatchCheckInterval;
+      chooseWatcher();
+      checkControlBudget();
+    }
+    Sender.flush();
+  }
+  Receiver.stop();
+  Platform.stop();
+  Admin.stop();
+  Peers.stop();
+  Events.note("stopped", "");
+  Events.stop();
+}
+
+void Daemon::Shell::chooseWatcher() {
+  // The same rule on each instance of a zone, so no leader has to be chosen.
+  // Where they see each other differently, one more or one fewer watches.
+  const Membership &members = Decisions.membership();
+  std::vector<InstanceId> zone;
+  for (InstanceId it : members.homes()) {
+    const Peer *peer = members.find(it);
+    if (it == Config.Self.Id ||
+        (peer != nullptr && peer->Info.Zone == Config.Self.Zone))
+      zone.push_back(it);
+  }
+  std::vector<InstanceId> first = rendezvousOrder(0, zone, WatchersPerZone);
+  Watching = zone.empty() || std::find(first.begin(), first.end(),
+                                       Config.Self.Id) != first.end();
+  Platform.setWatching(Watching);
+}
+
+void Daemon::Shell::checkControlBudget() {
+  uint64_t bytes = Peers.bytesSent();
+  BytesThisSecond = bytes - BytesBefore;
+  BytesBefore = bytes;
+  if (BytesThisSecond <= Config.ControlBytesPerSecond)
+    return;
+  Counters.refuse(Reason::ControlBudget);
+  Events.note("control_budget_exceeded", std::to_string(BytesThisSecond));
+}
+
+ShellFigures Daemon::Shell::figures() const {
+  return {.ControlBytes = Peers.bytesSent(),
+          .PlatformCalls = Platform.calls(),
+          .PlatformFailuresInRow = Platform.failuresInRow(),
+          .Watching = Watching};
+}
+
+Daemon::Daemon(Settings settings)
+    : Impl(std::make_unique<Shell>(std::move(settings))) {}
+Daemon::~Daemon() = default;
+
+tl::expected<void, std::string> Daemon::start() { return Impl->start(); }
+
+void Daemon::run(const std::atomic<bool> &stopAsked) { Impl->run(stopAsked); }
+
+} // namespace chicory
--- /dev/null
+++ b/lib/daemon/PacketEdge.cpp
@@ -0,0 +1,147 @@
+#include "PacketEdge.h"
+
+#include <array>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace chicory {
+
+namespace {
+
+constexpr size_t ReceiveBatch = 64;
+// Room for a packet and the head that another instance puts before it. A
+// longer datagram is cut off here and refused by the decoder.
+constexpr size_t DatagramRoom = 2048;
+constexpr int PollTimeoutMs = 100;
+
+bool passesUntouched(PacketKind kind) {
+  return kind == PacketKind::Data || kind == PacketKind::Open ||
+         kind == PacketKind::Close;
+}
+
+tl::expected<PacketInFlight, Reason> decodeInFlight(QByteArray datagram,
+                                                    Address from) {
+  tl::expected<PacketHead, Reason> head = decodePacketHead(datagram);
+  if (!head)
+    return tl::make_unexpected(head.error());
+  PacketInFlight out;
+  out.From = head->ToCaller && head->Origin ? head->Origin : from;
+  out.Content.Kind = head->Kind;
+  out.Content.ToCaller = head->ToCaller;
+  out.Content.Flow = head->Flow;
+  if (!passesUntouched(head->Kind)) {
+    tl::expected<Packet, Reason> whole = decodePacket(datagram);
+    if (!whole)
+      return tl::make_unexpected(whole.error());
+    out.Content = std::move(*whole);
+  }
+  out.Datagram = std::move(datagram);
+  return out;
+}
+
+} // namespace
+
+tl::expected<Event, Reason> decodeDatagram(QByteArray datagram, Address from,
+                                           const PeerKey &key) {
+  if (!isPeerDatagram(datagram))
+    return decodeInFlight(std::move(datagram), from)
+        .map([](PacketInFlight &&it) -> Event {
+          return PacketArrived{.Packet = std::move(it)};
+        });
+  tl::expected<PeerDatagram, Reason> message =
+      decodePeerDatagram(datagram, key);
+  if (!message)
+    return tl::make_unexpected(message.error());
+  if (const auto *query = std::get_if<FlowQuery>(&*message))
+    return Event(QueryArrived{.Message = *query});
+  if (const auto *reply = std::get_if<FlowReply>(&*message))
+    return Event(QueryArrived{.Message = *reply});
+  auto passedOn = std::get<PassedOnArrived>(std::move(*message));
+  auto inner =
+      decodeInFlight(std::move(passedOn.Packet.Datagram), passedOn.Packet.From);
+  if (!inner)
+    return tl::make_unexpected(inner.error());
+  passedOn.Packet = std::move(*inner);
+  return Event(std::move(passedOn));
+}
+
+void PacketReceiver::start() {
+  Worker = std::thread([this] { run(); });
+}
+
+void PacketReceiver::stop() {
+  Stopping = true;
+  if (Worker.joinable())
+    Worker.join();
+}
+
+void PacketReceiver::run() {
+  std::vector<std::array<char, DatagramRoom>> room(ReceiveBatch);
+  std::array<iovec, ReceiveBatch> vectors{};
+  std::array<sockaddr_in, ReceiveBatch> senders{};
+  std::array<mmsghdr, ReceiveBatch> headers{};
+  for (size_t i = 0; i < ReceiveBatch; ++i) {
+    vectors[i] = {.iov_base = room[i].data(), .iov_len = DatagramRoom};
+    headers[i].msg_hdr.msg_iov = &vectors[i];
+    headers[i].msg_hdr.msg_iovlen = 1;
+    headers[i].msg_hdr.msg_name = &senders[i];
+  }
+  pollfd waiting{.fd = Socket.get(), .events = POLLIN};
+  while (!Stopping) {
+    for (mmsghdr &it : headers)
+      it.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    int n = ::recvmmsg(Socket.get(), headers.data(), ReceiveBatch, 0, nullptr);
+    if (n <= 0) {
+      ::poll(&waiting, 1, PollTimeoutMs);
+      continue;
+    }
+    Counters.PacketsReceived += static_cast<uint64_t>(n);
+    EventBatch batch;
+    batch.reserve(static_cast<size_t>(n));
+    for (int i = 0; i < n; ++i) {
+      QByteArray datagram(room[i].data(), headers[i].msg_len);
+      auto event =
+          decodeDatagram(std::move(datagram), fromSockaddr(senders[i]), Key);
+      if (event)
+        batch.push_back(std::move(*event));
+      else
+        Counters.refuse(event.error());
+    }
+    if (!batch.empty() && !Rings.Packets.try_enqueue(std::move(batch)))
+      Counters.refuse(Reason::RingFull);
+  }
+}
+
+void PacketSender::add(Address to, QByteArray datagram) {
+  Pending.emplace_back(to, std::move(datagram));
+  if (Pending.size() >= BatchSize)
+    flush();
+}
+
+void PacketSender::flush() {
+  if (Pending.empty())
+    return;
+  std::array<iovec, BatchSize> vectors{};
+  std::array<sockaddr_in, BatchSize> receivers{};
+  std::array<mmsghdr, BatchSize> headers{};
+  for (size_t i = 0; i < Pending.size(); ++i) {
+    auto &[to, datagram] = Pending[i];
+    receivers[i] = toSockaddr(to);
+    vectors[i] = {.iov_base = datagram.data(),
+                  .iov_len = static_cast<size_t>(datagram.size())};
+    headers[i].msg_hdr.msg_iov = &vectors[i];
+    headers[i].msg_hdr.msg_iovlen = 1;
+    headers[i].msg_hdr.msg_name = &receivers[i];
+    headers[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+  }
+  size_t done = 0;
+  while (done < Pending.size()) {
+    int n = ::sendmmsg(Socket.get(), &headers[done],
+                       static_cast<unsigned>(Pending.size() - done), 0);
+    // One datagram that can't be sent must not hold up the rest.
+    done += n > 0 ? static_cast<size_t>(n) : 1;
+  }
+  Pending.clear();
+}
+
+} // namespace chicory
--- /dev/null
+++ b/lib/daemon/PlatformDuty.cpp
@@ -0,0 +1,182 @@
+#include "PlatformDuty.h"
+
+#include <random>
+
+namespace chicory {
+
+namespace {
+
+constexpr Duration PauseStep = std::chrono::milliseconds(20);
+constexpr Duration RetryLeast = std::chrono::milliseconds(200);
+constexpr Duration RetryMost = std::chrono::seconds(5);
+constexpr uint64_t MaxDoublings = 5;
+
+/// Doubles with each failure, with jitter: after an outage of the platform all
+/// instances come back, and must not come in step.
+Duration backOff(uint64_t failures) {
+  static thread_local std::minstd_rand random(std::random_device{}());
+  Duration base = RetryLeast * (1 << std::min(failures, MaxDoublings));
+  Duration capped = std::min(base, Duration(RetryMost));
+  return capped / 2 + Duration(random() % capped.count());
+}
+
+} // namespace
+
+PlatformDuty::PlatformDuty(const Settings &settings, RuleStore &store,
+                           CoreRings &rings, ShellCounters &counters)
+    : Config(settings), Store(store), Rings(rings), Counters(counters),
+      Reader(makePlatformClient(settings.Platform)),
+      Writer(makePlatformClient(settings.Platform)) {}
+
+void PlatformDuty::start() {
+  ReaderThread = std::thread([this] { runReader(); });
+  WriterThread = std::thread([this] { runWriter(); });
+}
+
+void PlatformDuty::stop() {
+  if (Stopping.exchange(true))
+    return;
+  Reader->interrupt();
+  Writer->interrupt();
+  if (ReaderThread.joinable())
+    ReaderThread.join();
+  if (WriterThread.joinable())
+    WriterThread.join();
+}
+
+void PlatformDuty::pause(Duration length) {
+  for (Duration done{}; done < length && !Stopping; done += PauseStep)
+    std::this_thread::sleep_for(PauseStep);
+}
+
+void PlatformDuty::runReader() {
+  while (!Stopping) {
+    bool ok = readAll();
+    if (ok && Watching)
+      ok = watchOnce();
+    else if (ok)
+      pause(Config.PlatformPoll);
+    Failures = ok ? 0 : Failures + 1;
+    if (!ok)
+      pause(backOff(Failures));
+  }
+}
+
+bool PlatformDuty::readAll() {
+  ++Calls;
+  auto instances = Reader->list(keys::Instances);
+  if (!instances)
+    return false;
+  InstancesNamed named;
+  for (const KeyValue &it : *instances) {
+    auto info = decodeInstance(it.Value);
+    if (info)
+      named.Instances.push_back(*info);
+    else
+      Counters.refuse(info.error());
+  }
+  if (!Rings.PlatformWatch.try_enqueue(named))
+    Counters.refuse(Reason::RingFull);
+  for (const char *key : {keys::Members, keys::Manifest}) {
+    ++Calls;
+    auto found = Reader->get(key);
+    if (!found)
+      return false;
+    for (const KeyValue &it : *found)
+      take(it, *Reader);
+  }
+  return true;
+}
+
+bool PlatformDuty::watchOnce() {
+  ++Calls;
+  auto changed = [this](const KeyValue &change) {
+    take(change, *Reader);
+    return !Stopping && Watching;
+  };
+  return Reader->watch(keys::Root, changed).has_value();
+}
+
+void PlatformDuty::take(const KeyValue &change, KeyValueService &service) {
+  if (change.Key == keys::Manifest)
+    takeManifest(change.Value, service);
+  else if (change.Key == keys::Members)
+    takeMembers(change.Value, Rings.PlatformWatch);
+}
+
+void PlatformDuty::takeManifest(const QByteArray &value,
+                                KeyValueService &service) {
+  auto manifest = decodeManifest(value);
+  if (!manifest)
+    return Counters.refuse(manifest.error());
+  if (manifest->Version <= Store.version())
+    return;
+  PageStore pages = Store.pages();
+  ++Calls;
+  if (!RuleRegistry(service).fetchPages(*manifest, pages))
+    return; // Read again after the pause that follows.
+  auto rules = Store.learn(*manifest, pages);
+  if (!rules)
+    return Counters.refuse(rules.error());
+  if (*rules && !Rings.PlatformWatch.try_enqueue(RulesLearned{.Rules = *rules}))
+    Counters.refuse(Reason::RingFull);
+}
+
+void PlatformDuty::takeMembers(const QByteArray &value,
+                               moodycamel::ReaderWriterQueue<Event> &ring) {
+  auto document = decodeMembers(value);
+  if (!document)
+    return Counters.refuse(document.error());
+  if (!ring.try_enqueue(MembersLearned{.Document = *document}))
+    Counters.refuse(Reason::RingFull);
+}
+
+void PlatformDuty::write(const MembersDocument &document) {
+  std::lock_guard lock(WriteLock);
+  ToWrite = document;
+}
+
+void PlatformDuty::runWriter() {
+  while (!Stopping) {
+    std::optional<MembersDocument> document;
+    {
+      std::lock_guard lock(WriteLock);
+      document.swap(ToWrite);
+    }
+    if (document)
+      writeNow(*document);
+    else
+      pause(PauseStep);
+  }
+}
+
+void PlatformDuty::writeNow(const MembersDocument &document) {
+  ++Calls;
+  auto found = Writer->get(keys::Members);
+  if (!found)
+    return;
+  int64_t revision = 0;
+  MembersVersion stored;
+  if (!found->empty()) {
+    auto current = decodeMembers(found->front().Value);
+    if (!current)
+      return Counters.refuse(current.error());
+    stored = current->Version;
+    revision = found->front().ModRevision;
+  }
+  if (stored.Value + 1 == document.Version.Value) {
+    ++Calls;
+    (void)Writer->swap(
+        {.Key = keys::Members,
+         .ExpectedRevision = revision,
+         .Puts = {{.Key = keys::Members, .Value = encodeMembers(document)}}});
+  }
+  // Whether the swap took place, lost a race or lost its answer: what stands
+  // in the platform now is what counts.
+  ++Calls;
+  auto now = Writer->get(keys::Members);
+  if (now && !now->empty())
+    takeMembers(now->front().Value, Rings.PlatformCalls);
+}
+
+} // namespace chicory
--- /dev/null
+++ b/lib/daemon/RuleStore.cpp
@@ -0,0 +1,59 @@
+#include "RuleStore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicory {
+
+tl::expected<CompiledRulesPtr, Reason>
+RuleStore::learn(const RuleManifest &manifest, const PageStore &pages) {
+  if (manifest.Version <= version())
+    return CompiledRulesPtr();
+  PageStore all = this->pages();
+  all.insert(pages.begin(), pages.end());
+  tl::expected<RuleSet, Reason> rules = assemble(manifest, all);
+  if (!rules)
+    return tl::make_unexpected(rules.error());
+  auto compiled = std::make_shared<const CompiledRules>(std::move(*rules));
+  PageStore needed;
+  for (PageId id : manifest.allPages())
+    needed[id] = all[id];
+  std::lock_guard lock(Lock);
+  if (manifest.Version <= Manifest.Version)
+    return CompiledRulesPtr();
+  Manifest = manifest;
+  Pages = std::move(needed);
+  return compiled;
+}
+
+RuleVersion RuleStore::version() const {
+  std::lock_guard lock(Lock);
+  return Manifest.Version;
+}
+
+PageStore RuleStore::pages() const {
+  std::lock_guard lock(Lock);
+  return Pages;
+}
+
+RuleDocument RuleStore::answer(const RuleRequest &request) const {
+  std::lock_guard lock(Lock);
+  RuleDocument out{.Manifest = Manifest};
+  for (const auto &[id, bytes] : Pages) {
+    bool known = std::find(request.Have.begin(), request.Have.end(), id) !=
+                 request.Have.end();
+    if (!known)
+      out.Pages[id] = bytes;
+  }
+  return out;
+}
+
+RuleRequest RuleStore::request(const InstanceInfo &self) const {
+  RuleRequest out{.Sender = self};
+  std::lock_guard lock(Lock);
+  for (const auto &[id, bytes] : Pages)
+    out.Have.push_back(id);
+  return out;
+}
+
+} // namespace chicory
--- /dev/null
+++ b/lib/platform/RuleRegistry.cpp
@@ -0,0 +1,258 @@
+#include "chicorybank/platform/RuleRegistry.h"
+
+#include <QCborArray>
+#include <QCborValue>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <set>
+
+namespace chicory {
+
+namespace {
+
+// The service takes 128 writes in a transaction by default.
+constexpr size_t MaxPagesPerSwap = 100;
+
+std::string historyKey(RuleVersion version) {
+  // Fixed width, so that the keys sort like the versions.
+  return keys::History +
+         QString::number(version.Value).rightJustified(20, '0').toStdString();
+}
+
+QCborArray encodeIds(const std::vector<InstanceId> &ids) {
+  QCborArray out;
+  for (InstanceId it : ids)
+    out.append(qint64{it.Value});
+  return out;
+}
+
+/// The pages that a manifest does not name yet.
+std::vector<KeyValuePut> newPages(const PageStore &pages,
+                                  const RuleManifest &current) {
+  std::vector<PageId> known = current.allPages();
+  std::set<PageId> present(known.begin(), known.end());
+  std::vector<KeyValuePut> out;
+  for (const auto &[id, bytes] : pages)
+    if (!present.contains(id))
+      out.push_back({.Key = pageKey(id), .Value = bytes});
+  return out;
+}
+
+std::optional<std::vector<InstanceId>> decodeIds(const QCborValue &value) {
+  std::vector<InstanceId> out;
+  if (!value.isArray())
+    return std::nullopt;
+  const QCborArray list = value.toArray();
+  for (const QCborValue &it : list) {
+    if (!it.isInteger())
+      return std::nullopt;
+    out.push_back(InstanceId{static_cast<uint32_t>(it.toInteger())});
+  }
+  return out;
+}
+
+} // namespace
+
+std::string pageKey(PageId id) {
+  return keys::Pages +
+         QString::number(id.Value, 16).rightJustified(16, '0').toStdString();
+}
+
+QByteArray encodeMembers(const MembersDocument &document) {
+  QCborArray out{static_cast<qint64>(document.Version.Value),
+                 encodeIds(document.Members), encodeIds(document.Previous)};
+  return QCborValue(out).toCbor();
+}
+
+tl::expected<MembersDocument, Reason> decodeMembers(const QByteArray &bytes) {
+  constexpr qsizetype Fields = 3;
+  QCborArray list = QCborValue::fromCbor(bytes).toArray();
+  auto members = decodeIds(list.at(1));
+  auto previous = decodeIds(list.at(2));
+  bool ok =
+      list.size() == Fields && list.at(0).isInteger() && members && previous;
+  if (!ok)
+    return tl::make_unexpected(Reason::BadPlatformValue);
+  return MembersDocument{
+      .Version = {static_cast<uint64_t>(list.at(0).toInteger())},
+      .Members = *members,
+      .Previous = *previous};
+}
+
+QByteArray encodeInstance(const InstanceInfo &info) {
+  QJsonObject out{
+      {"id", qint64{info.Id.Value}},
+      {"zone", QString::fromStdString(info.Zone)},
+      {"packets", QString::fromStdString(formatAddress(info.Packets))},
+      {"peers", QString::fromStdString(formatAddress(info.Peers))},
+      {"admin", QString::fromStdString(formatAddress(info.Admin))}};
+  return QJsonDocument(out).toJson(QJsonDocument::Compact);
+}
+
+tl::expected<InstanceInfo, Reason> decodeInstance(const QByteArray &bytes) {
+  QJsonObject object = QJsonDocument::fromJson(bytes).object();
+  auto address = [&](const char *key) {
+    return parseAddress(object[key].toString().toStdString());
+  };
+  auto packets = address("packets");
+  auto peers = address("peers");
+  auto admin = address("admin");
+  qint64 id = object["id"].toInteger();
+  if (id <= 0 || id > UINT32_MAX || !packets || !peers || !admin)
+    return tl::make_unexpected(Reason::BadPlatformValue);
+  return InstanceInfo{.Id = {static_cast<uint32_t>(id)},
+                      .Zone = object["zone"].toString().toStdString(),
+                      .Packets = *packets,
+                      .Peers = *peers,
+                      .Admin = *admin};
+}
+
+PlatformResult<RuleRegistry::Current> RuleRegistry::current() {
+  auto found = Service.get(keys::Manifest);
+  if (!found)
+    return tl::make_unexpected(found.error());
+  if (found->empty())
+    return Current{};
+  auto manifest = decodeManifest(found->front().Value);
+  if (!manifest)
+    return tl::make_unexpected(PlatformError::BadAnswer);
+  return Current{.Manifest = *manifest, .Revision = found->front().ModRevision};
+}
+
+PlatformResult<std::optional<RuleManifest>> RuleRegistry::currentManifest() {
+  return current().map([](const Current &it) { return it.Manifest; });
+}
+
+PlatformResult<std::optional<RuleManifest>>
+RuleRegistry::manifestOf(RuleVersion version) {
+  auto found = Service.get(historyKey(version));
+  if (!found)
+    return tl::make_unexpected(found.error());
+  if (found->empty())
+    return std::optional<RuleManifest>();
+  auto manifest = decodeManifest(found->front().Value);
+  if (!manifest)
+    return tl::make_unexpected(PlatformError::BadAnswer);
+  return std::optional(*manifest);
+}
+
+PlatformResult<std::vector<RuleManifest>> RuleRegistry::history() {
+  auto found = Service.list(keys::History);
+  if (!found)
+    return tl::make_unexpected(found.error());
+  std::vector<RuleManifest> out;
+  for (const KeyValue &it : *found)
+    if (auto manifest = decodeManifest(it.Value))
+      out.push_back(*manifest);
+  return out;
+}
+
+PlatformResult<void> RuleRegistry::fetchPages(const RuleManifest &manifest,
+                                              PageStore &pages) {
+  for (PageId id : manifest.allPages()) {
+    if (pages.contains(id))
+      continue;
+    auto found = Service.get(pageKey(id));
+    if (!found)
+      return tl::make_unexpected(found.error());
+    bool ok = found->size() == 1 && pageIdOf(found->front().Value) == id;
+    if (!ok)
+      return tl::make_unexpected(PlatformError::BadAnswer);
+    pages[id] = found->front().Value;
+  }
+  return {};
+}
+
+std::optional<SubmitOutcome>
+RuleRegistry::findEarlier(const std::string &submissionId) {
+  auto manifests = history();
+  if (!manifests)
+    return NotSubmitted{.Why = manifests.error()};
+  for (const RuleManifest &it : *manifests)
+    if (it.SubmissionId == submissionId)
+      return Accepted{.Version = it.Version};
+  return std::nullopt;
+}
+
+SubmitOutcome RuleRegistry::submit(RuleSet rules,
+                                   std::optional<RuleVersion> ifVersion) {
+  // A repeat of a submission whose answer was lost must not take effect twice.
+  if (auto earlier = findEarlier(rules.SubmissionId))
+    return *earlier;
+  auto before = current();
+  if (!before)
+    return NotSubmitted{.Why = before.error()};
+  RuleVersion base =
+      before->Manifest ? before->Manifest->Version : RuleVersion{};
+  if (ifVersion && *ifVersion != base)
+    return Conflict{.Current = base};
+  rules.Version = RuleVersion{base.Value + 1};
+  PageStore pages;
+  RuleManifest manifest = paginate(rules, pages);
+  // New pages go with the manifest in one transaction, as far as the service
+  // takes them. The rest go first: pages have no effect until a manifest names
+  // them, so a failure half-way leaves nothing half-applied.
+  std::vector<KeyValuePut> puts =
+      newPages(pages, before->Manifest.value_or(RuleManifest{}));
+  std::vector<KeyValuePut> early;
+  if (puts.size() > MaxPagesPerSwap) {
+    early.assign(puts.begin() + MaxPagesPerSwap, puts.end());
+    puts.resize(MaxPagesPerSwap);
+  }
+  for (const KeyValuePut &it : early)
+    if (auto put = Service.put(it); !put)
+      return NotSubmitted{.Why = put.error()};
+  QByteArray value = encodeManifest(manifest);
+  puts.push_back({.Key = keys::Manifest, .Value = value});
+  puts.push_back({.Key = historyKey(rules.Version), .Value = value});
+  auto swapped = Service.swap({.Key = keys::Manifest,
+                               .ExpectedRevision = before->Revision,
+                               .Puts = puts});
+  if (!swapped) {
+    bool noEffect = swapped.error() == PlatformError::Unreachable ||
+                    swapped.error() == PlatformError::Limited;
+    if (noEffect)
+      return NotSubmitted{.Why = swapped.error()};
+    // The answer was lost. The id tells whether the swap took place.
+    if (auto earlier = findEarlier(rules.SubmissionId))
+      if (std::holds_alternative<Accepted>(*earlier))
+        return *earlier;
+    return OutcomeUnknown{.Why = swapped.error()};
+  }
+  if (!*swapped) {
+    auto now = current();
+    bool known = now && now->Manifest;
+    return Conflict{.Current = known ? now->Manifest->Version : base};
+  }
+  // A clean-up by another writer may have removed an early page, because no
+  // manifest named it yet. Writing it again is harmless.
+  for (const KeyValuePut &it : early)
+    (void)Service.put(it);
+  forgetOld(rules.Version);
+  return Accepted{.Version = rules.Version};
+}
+
+void RuleRegistry::forgetOld(RuleVersion newest) {
+  // Best effort: what is left over is removed after the next submission.
+  auto manifests = history();
+  if (!manifests)
+    return;
+  std::set<PageId> needed;
+  std::vector<RuleManifest> old;
+  for (const RuleManifest &it : *manifests) {
+    if (it.Version.Value + VersionsKept <= newest.Value) {
+      old.push_back(it);
+      continue;
+    }
+    for (PageId id : it.allPages())
+      needed.insert(id);
+  }
+  for (const RuleManifest &it : old) {
+    for (PageId id : it.allPages())
+      if (!needed.contains(id))
+        (void)Service.remove(pageKey(id));
+    (void)Service.remove(historyKey(it.Version));
+  }
+}
+
+} // namespace chicory
--- /dev/null
+++ b/programs/chicoryctl/LiveCommands.cpp
@@ -0,0 +1,176 @@
+// wait, explain, instances, targets and events: what the live instances say.
+
+#include "Commands.h"
+
+#include <CLI/CLI.hpp>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <chrono>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace chicoryctl {
+
+namespace {
+
+using namespace chicory;
+
+struct LiveArguments {
+  uint64_t Version = 0;
+  int TimeoutSeconds = 10;
+  std::string Flow;
+};
+
+std::string cell(const QJsonValue &value) {
+  if (value.isString())
+    return value.toString().toStdString();
+  if (value.isBool())
+    return value.toBool() ? "yes" : "no";
+  return std::to_string(value.toInteger());
+}
+
+/// One line of key=value pairs, lists left out.
+std::string line(const QJsonObject &object) {
+  std::string out;
+  for (auto it = object.begin(); it != object.end(); ++it)
+    if (!it->isArray())
+      out +=
+          (out.empty() ? "" : " ") + it.key().toStdString() + "=" + cell(*it);
+  return out + "\n";
+}
+
+int noAnswer() {
+  std::cerr << "no instance answered; name some with --admin IP:port or the "
+               "platform with --platform IP:port\n";
+  return ExitNotReached;
+}
+
+int wait(const Globals &globals, const LiveArguments &arguments) {
+  auto until = std::chrono::steady_clock::now() +
+               std::chrono::seconds(arguments.TimeoutSeconds);
+  for (;;) {
+    QJsonArray confirmed;
+    QJsonArray behind;
+    QJsonArray unknown;
+    for (const AdminAnswer &it : askAll(globals, "/status")) {
+      QString at = QString::fromStdString(formatAddress(it.At));
+      if (!it.Body)
+        unknown.append(at);
+      else if ((*it.Body)["rule_version"].toInteger() >=
+               static_cast<qint64>(arguments.Version))
+        confirmed.append(at);
+      else
+        behind.append(at);
+    }
+    bool done = !confirmed.isEmpty() && behind.isEmpty() && unknown.isEmpty();
+    if (!done && std::chrono::steady_clock::now() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      continue;
+    }
+    auto count = [](const QJsonArray &list) {
+      return std::to_string(list.size());
+    };
+    auto names = [](const QJsonArray &list) {
+      std::string out;
+      for (const QJsonValue &it : list)
+        out += " " + it.toString().toStdString();
+      return out;
+    };
+    print(globals,
+          {{"in_force", done},
+           {"confirmed", confirmed},
+           {"behind", behind},
+           {"unknown", unknown}},
+          "in_force=" + std::string(done ? "yes" : "no") +
+              " confirmed=" + count(confirmed) + "\nbehind:" + names(behind) +
+              "\nunknown:" + names(unknown) + "\n");
+    return done ? ExitDone : ExitNotInForce;
+  }
+}
+
+int explain(const Globals &globals, const LiveArguments &arguments) {
+  QJsonArray answers;
+  std::string text;
+  for (const AdminAnswer &it :
+       askAll(globals, "/explain?flow=" + arguments.Flow)) {
+    if (!it.Body)
+      continue;
+    answers.append(*it.Body);
+    text += line(*it.Body);
+  }
+  if (answers.isEmpty())
+    return noAnswer();
+  print(globals, {{"answers", answers}}, text);
+  return ExitDone;
+}
+
+/// Prints each instance's answer, or the items of one of its lists.
+int listAll(const Globals &globals, const std::string &path,
+            const char *listName) {
+  QJsonArray out;
+  std::string text;
+  bool answered = false;
+  for (const AdminAnswer &it : askAll(globals, path)) {
+    std::string at = formatAddress(it.At);
+    if (!it.Body) {
+      text += "admin=" + at + " unreachable=yes\n";
+      continue;
+    }
+    answered = true;
+    QJsonObject tagged = *it.Body;
+    tagged["from"] = QString::fromStdString(at);
+    out.append(tagged);
+    if (listName == nullptr) {
+      text += line(tagged);
+      continue;
+    }
+    const QJsonArray items = tagged[listName].toArray();
+    for (const QJsonValue &item : items)
+      text += "from=" + at + " " + line(item.toObject());
+  }
+  if (!answered)
+    return noAnswer();
+  print(globals, {{"instances", out}}, text);
+  return ExitDone;
+}
+
+} // namespace
+
+void addLiveCommands(CLI::App &app, Globals &globals) {
+  auto arguments = std::make_shared<LiveArguments>();
+  Globals *shared = &globals;
+  auto command = [&app, shared](const char *name, const char *help, auto run) {
+    CLI::App *out = app.add_subcommand(name, help);
+    out->callback([shared, run] { shared->Run = run; });
+    return out;
+  };
+  CLI::App *waitCommand =
+      command("wait",
+              "Wait until a version is in force on every instance\n"
+              "Example: chicoryctl wait --version 8 --timeout 10",
+              [shared, arguments] { return wait(*shared, *arguments); });
+  waitCommand->add_option("--version", arguments->Version)->required();
+  waitCommand->add_option("--timeout", arguments->TimeoutSeconds, "Seconds");
+  command("explain",
+          "Which rule, target and home a flow has, and why\n"
+          "Example: chicoryctl explain --flow "
+          "10.0.0.1:5000,10.1.0.1:443,17",
+          [shared, arguments] { return explain(*shared, *arguments); })
+      ->add_option("--flow", arguments->Flow, "SOURCE,DESTINATION,PROTOCOL")
+      ->required();
+  command("instances",
+          "What each instance says of itself\n"
+          "Example: chicoryctl instances",
+          [shared] { return listAll(*shared, "/status", nullptr); });
+  command("targets",
+          "Targets as each instance sees them\n"
+          "Example: chicoryctl targets",
+          [shared] { return listAll(*shared, "/targets", "targets"); });
+  command("events",
+          "What each instance did lately\n"
+          "Example: chicoryctl events",
+          [shared] { return listAll(*shared, "/events", "events"); });
+}
+
+} // namespace chicoryctl
--- /dev/null
+++ b/programs/chicoryctl/RuleCommands.cpp
@@ -0,0 +1,338 @@
+// check, submit, show, history, diff, drain and undrain.
+
+#include "Commands.h"
+
+#include "chicorybank/rules/RuleFile.h"
+
+#include <CLI/CLI.hpp>
+#include <QJsonArray>
+#include <QUuid>
+#include <fstream>
+#include <iostream>
+#include <set>
+#include <sstream>
+
+namespace chicoryctl {
+
+namespace {
+
+using namespace chicory;
+
+constexpr int DrainTries = 5;
+
+/// What the commands of this file take.
+struct RuleArguments {
+  std::string File;
+  std::string SubmissionId;
+  uint64_t IfVersion = 0;
+  uint64_t Version = 0;
+  uint64_t Other = 0;
+  std::string Target;
+  bool HasIfVersion = false;
+};
+
+std::string newSubmissionId() {
+  return QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString();
+}
+
+std::optional<RuleSet> loadRules(const Globals &globals,
+                                 const std::string &file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  Findings findings;
+  std::optional<RuleSet> rules;
+  if (in)
+    rules = readRuleFile(text.str(), file, findings);
+  else
+    findings.add({.File = file}, "can't be read");
+  if (rules)
+    return rules;
+  QJsonArray list;
+  for (const Finding &it : findings.items())
+    list.append(QJsonObject{{"file", QString::fromStdString(it.Where.File)},
+                            {"line", qint64{it.Where.Line}},
+                            {"column", qint64{it.Where.Column}},
+                            {"message", QString::fromStdString(it.Message)}});
+  if (globals.Json)
+    print(globals, {{"outcome", "refused"}, {"findings", list}}, "");
+  else
+    std::cerr << findings.text();
+  return std::nullopt;
+}
+
+int check(const Globals &globals, const RuleArguments &arguments) {
+  auto rules = loadRules(globals, arguments.File);
+  if (!rules)
+    return ExitFindings;
+  print(globals, {{"outcome", "no_findings"}},
+        arguments.File + ": no findings, " +
+            std::to_string(rules->Rules.size()) + " rules, " +
+            std::to_string(rules->Services.size()) + " services\n");
+  return ExitDone;
+}
+
+int report(const Globals &globals, const SubmitOutcome &outcome,
+           const std::string &id) {
+  QString qid = QString::fromStdString(id);
+  if (const auto *it = std::get_if<Accepted>(&outcome)) {
+    print(globals,
+          {{"outcome", "accepted"},
+           {"version", static_cast<qint64>(it->Version.Value)},
+           {"id", qid}},
+          "accepted version=" + std::to_string(it->Version.Value) + "\n");
+    return ExitDone;
+  }
+  if (const auto *it = std::get_if<Conflict>(&outcome)) {
+    print(globals,
+          {{"outcome", "conflict"},
+           {"current", static_cast<qint64>(it->Current.Value)}},
+          "conflict: the current version is " +
+              std::to_string(it->Current.Value) + "; nothing was changed\n");
+    return ExitConflict;
+  }
+  if (const auto *it = std::get_if<OutcomeUnknown>(&outcome)) {
+    std::string why(platformErrorName(it->Why));
+    print(globals,
+          {{"outcome", "unknown"},
+           {"id", qid},
+           {"reason", QString::fromStdString(why)}},
+          "outcome unknown (" + why + "): repeat it with --id " + id +
+              ", which is safe\n");
+    return ExitOutcomeUnknown;
+  }
+  return platformFailed(std::get<NotSubmitted>(outcome).Why);
+}
+
+int submit(const Globals &globals, const RuleArguments &arguments) {
+  auto rules = loadRules(globals, arguments.File);
+  if (!rules)
+    return ExitFindings;
+  auto service = connect(globals);
+  if (service == nullptr)
+    return ExitFindings;
+  rules->SubmissionId = arguments.SubmissionId.empty() ? newSubmissionId()
+                                                       : arguments.SubmissionId;
+  std::optional<RuleVersion> ifVersion;
+  if (arguments.HasIfVersion)
+    ifVersion = RuleVersion{arguments.IfVersion};
+  SubmitOutcome outcome = RuleRegistry(*service).submit(*rules, ifVersion);
+  return report(globals, outcome, rules->SubmissionId);
+}
+
+/// Reads one version, or the current one for zero. Prints what goes wrong.
+std::optional<RuleSet> fetchRules(KeyValueService &service, uint64_t version,
+                                  int &exitCode) {
+  RuleRegistry registry(service);
+  auto manifest = version == 0 ? registry.currentManifest()
+                               : registry.manifestOf(RuleVersion{version});
+  if (!manifest) {
+    exitCode = platformFailed(manifest.error());
+    return std::nullopt;
+  }
+  if (!*manifest) {
+    std::cerr << "no such version\n";
+    exitCode = ExitFindings;
+    return std::nullopt;
+  }
+  PageStore pages;
+  if (auto fetched = registry.fetchPages(**manifest, pages); !fetched) {
+    exitCode = platformFailed(fetched.error());
+    return std::nullopt;
+  }
+  auto rules = assemble(**manifest, pages);
+  if (!rules) {
+    exitCode = platformFailed(PlatformError::BadAnswer);
+    return std::nullopt;
+  }
+  return *rules;
+}
+
+int show(const Globals &globals, const RuleArguments &arguments) {
+  auto service = connect(globals);
+  int exitCode = ExitFindings;
+  if (service == nullptr)
+    return exitCode;
+  auto rules = fetchRules(*service, arguments.Version, exitCode);
+  if (!rules)
+    return exitCode;
+  std::string text = writeRuleFile(*rules);
+  print(globals,
+        {{"version", static_cast<qint64>(rules->Version.Value)},
+         {"toml", QString::fromStdString(text)}},
+        "# version " + std::to_string(rules->Version.Value) + "\n" + text);
+  return ExitDone;
+}
+
+int history(const Globals &globals) {
+  auto service = connect(globals);
+  if (service == nullptr)
+    return ExitFindings;
+  auto manifests = RuleRegistry(*service).history();
+  if (!manifests)
+    return platformFailed(manifests.error());
+  QJsonArray list;
+  std::string text;
+  for (const RuleManifest &it : *manifests) {
+    list.append(
+        QJsonObject{{"version", static_cast<qint64>(it.Version.Value)},
+                    {"id", QString::fromStdString(it.SubmissionId)},
+                    {"pages", static_cast<qint64>(it.allPages().size())}});
+    text += "version=" + std::to_string(it.Version.Value) +
+            " id=" + it.SubmissionId +
+            " pages=" + std::to_string(it.allPages().size()) + "\n";
+  }
+  print(globals, {{"versions", list}}, text);
+  return ExitDone;
+}
+
+/// The lines of a rule file, each block of a rule or service as one item.
+std::vector<std::string> blocksOf(const RuleSet &rules) {
+  std::vector<std::string> out;
+  std::istringstream in(writeRuleFile(rules));
+  std::string line;
+  while (std::getline(in, line)) {
+    bool begins = line == "[[rules]]" || line == "[[services]]" ||
+                  line == "[[services.targets]]";
+    if (begins || out.empty())
+      out.emplace_back();
+    if (!line.empty())
+      out.back() += line + "\n";
+  }
+  return out;
+}
+
+int diff(const Globals &globals, const RuleArguments &arguments) {
+  auto service = connect(globals);
+  int exitCode = ExitFindings;
+  if (service == nullptr)
+    return exitCode;
+  auto before = fetchRules(*service, arguments.Version, exitCode);
+  if (!before)
+    return exitCode;
+  auto after = fetchRules(*service, arguments.Other, exitCode);
+  if (!after)
+    return exitCode;
+  std::vector<std::string> old = blocksOf(*before);
+  std::vector<std::string> fresh = blocksOf(*after);
+  std::multiset<std::string> oldSet(old.begin(), old.end());
+  std::multiset<std::string> freshSet(fresh.begin(), fresh.end());
+  QJsonArray removed;
+  QJsonArray added;
+  std::string text;
+  auto note = [&](const std::string &block, char sign, QJsonArray &list) {
+    list.append(QString::fromStdString(block));
+    std::istringstream in(block);
+    for (std::string line; std::getline(in, line);)
+      text += std::string(1, sign) + " " + line + "\n";
+  };
+  for (const std::string &it : old)
+    if (!freshSet.contains(it))
+      note(it, '-', removed);
+  for (const std::string &it : fresh)
+    if (!oldSet.contains(it))
+      note(it, '+', added);
+  print(globals, {{"removed", removed}, {"added", added}}, text);
+  return ExitDone;
+}
+
+/// Sets a target's drain mark in the current rule set, against other writers.
+int setDrain(const Globals &globals, const std::string &text, bool drain) {
+  auto id = parseAddress(text);
+  if (!id) {
+    std::cerr << "\"" << text << "\" is no IP:port\n";
+    return ExitFindings;
+  }
+  auto service = connect(globals);
+  int exitCode = ExitFindings;
+  if (service == nullptr)
+    return exitCode;
+  SubmitOutcome outcome = Conflict{};
+  std::string submissionId;
+  for (int n = 0; n < DrainTries; ++n) {
+    auto rules = fetchRules(*service, 0, exitCode);
+    if (!rules)
+      return exitCode;
+    bool found = false;
+    for (Service &it : rules->Services)
+      for (Target &target : it.Targets)
+        if (target.Id == *id) {
+          target.Drain = drain;
+          found = true;
+        }
+    if (!found) {
+      std::cerr << text << " is no target of the current rule set\n";
+      return ExitFindings;
+    }
+    RuleVersion base = rules->Version;
+    submissionId = newSubmissionId();
+    rules->SubmissionId = submissionId;
+    outcome = RuleRegistry(*service).submit(*rules, base);
+    if (!std::holds_alternative<Conflict>(outcome))
+      break;
+  }
+  return report(globals, outcome, submissionId);
+}
+
+} // namespace
+
+void addRuleCommands(CLI::App &app, Globals &globals) {
+  auto arguments = std::make_shared<RuleArguments>();
+  auto command = [&app, &globals](const char *name, const char *help,
+                                  auto run) {
+    CLI::App *out = app.add_subcommand(name, help);
+    out->callback([&globals, run] { globals.Run = run; });
+    return out;
+  };
+  Globals *shared = &globals;
+  command("check",
+          "Report every finding in a rule file\n"
+          "Example: chicoryctl check rules.toml",
+          [shared, arguments] { return check(*shared, *arguments); })
+      ->add_option("file", arguments->File, "The rule file")
+      ->required();
+  CLI::App *submitCommand =
+      command("submit",
+              "Replace the rule set in force by a file\n"
+              "Example: chicoryctl submit rules.toml --if-version 7",
+              [shared, arguments] { return submit(*shared, *arguments); });
+  submitCommand->add_option("file", arguments->File, "The rule file")
+      ->required();
+  submitCommand->add_option("--id", arguments->SubmissionId,
+                            "Repeats an earlier submission safely");
+  submitCommand
+      ->add_option("--if-version", arguments->IfVersion,
+                   "Only if this version is the current one")
+      ->each(
+          [arguments](const std::string &) { arguments->HasIfVersion = true; });
+  command("show", "Print a rule set\nExample: chicoryctl show --version 7",
+          [shared, arguments] { return show(*shared, *arguments); })
+      ->add_option("--version", arguments->Version, "Default: the current");
+  command("history", "List the last versions\nExample: chicoryctl history",
+          [shared] { return history(*shared); });
+  CLI::App *diffCommand =
+      command("diff",
+              "What changed between two versions\n"
+              "Example: chicoryctl diff 6 7",
+              [shared, arguments] { return diff(*shared, *arguments); });
+  diffCommand->add_option("old", arguments->Version)->required();
+  diffCommand->add_option("new", arguments->Other)->required();
+  command("drain",
+          "Give a target no new work; its flows stay\n"
+          "Example: chicoryctl drain 10.0.0.5:8443",
+          [shared, arguments] {
+            return setDrain(*shared, arguments->Target, true);
+          })
+      ->add_option("target", arguments->Target, "IP:port")
+      ->required();
+  command("undrain",
+          "Give a target work again\n"
+          "Example: chicoryctl undrain 10.0.0.5:8443",
+          [shared, arguments] {
+            return setDrain(*shared, arguments->Target, false);
+          })
+      ->add_option("target", arguments->Target, "IP:port")
+      ->required();
+}
+
+} // namespace chicoryctl
--- /dev/null
+++ b/standins/fabric/Main.cpp
@@ -0,0 +1,221 @@
+// standin-fabric: stands in for the fabric and for the callers.
+//
+//   standin-fabric --ip 127.0.0.1 --service records=10.1.0.1:443
+//
+// Datagrams from instances are for callers; all others (from backend servers,
+// and the callers' own) are sprayed over the instances. It prints
+// "fabric=IP:PORT" and "port=N" for its control side:
+//   POST /control?do=add&id=N&at=IP:PORT | remove&id=N | start | stop |
+//        canary&port=N | rate&value=N | faults&drop=X&duplicate=X&delay=X
+//   GET  /stats, /ids
+
+#include "Callers.h"
+#include "Fabric.h"
+
+#include <CLI/CLI.hpp>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <httplib.h>
+#include <mutex>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+
+namespace {
+
+constexpr int TickMs = 2;
+constexpr size_t MaxDatagram = 2048;
+constexpr int MaxReadsPerTurn = 512;
+
+int64_t nowMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+QJsonObject reasonsJson(const std::map<std::string, uint64_t> &reasons) {
+  QJsonObject out;
+  for (const auto &[reason, count] : reasons)
+    out[QString::fromStdString(reason)] = static_cast<qint64>(count);
+  return out;
+}
+
+template <typename T> qint64 percentile(std::vector<T> values, double share) {
+  if (values.empty())
+    return 0;
+  std::sort(values.begin(), values.end());
+  auto i = static_cast<size_t>(share * static_cast<double>(values.size()));
+  return static_cast<qint64>(values[std::min(i, values.size() - 1)]);
+}
+
+class FabricServer {
+public:
+  FabricServer(chicory::FileDescriptor socket, standin::CallerOptions options,
+               uint64_t seed)
+      : Net(std::move(socket), seed),
+        People(std::move(options), seed,
+               [this](const QByteArray &it) { Net.spray(it, nowMs()); }) {}
+
+  void loop();
+  void serve(httplib::Server &server);
+
+private:
+  void receive();
+  bool command(const httplib::Request &request);
+  QJsonObject stats() const;
+
+  std::mutex Lock;
+  standin::Fabric Net;
+  standin::Callers People;
+};
+
+void FabricServer::receive() {
+  for (int n = 0; n < MaxReadsPerTurn; ++n) {
+    QByteArray buf(MaxDatagram, '\0');
+    sockaddr_in raw{};
+    socklen_t size = sizeof(raw);
+    ssize_t got = ::recvfrom(Net.fd(), buf.data(), MaxDatagram, 0,
+                             reinterpret_cast<sockaddr *>(&raw), &size);
+    if (got < 0)
+      return;
+    buf.truncate(got);
+    if (Net.isInstance(chicory::fromSockaddr(raw)))
+      People.receive(buf, nowMs());
+    else
+      Net.spray(buf, nowMs());
+  }
+}
+
+void FabricServer::loop() {
+  pollfd waiting{.fd = Net.fd(), .events = POLLIN};
+  for (;;) {
+    ::poll(&waiting, 1, TickMs);
+    std::lock_guard lock(Lock);
+    receive();
+    Net.tick(nowMs());
+    People.tick(nowMs());
+  }
+}
+
+bool FabricServer::command(const httplib::Request &request) {
+  std::string verb = request.get_param_value("do");
+  auto id =
+      static_cast<uint32_t>(std::atoi(request.get_param_value("id").c_str()));
+  auto share = [&](const char *key) {
+    return std::atof(request.get_param_value(key).c_str());
+  };
+  if (verb == "add") {
+    auto at = chicory::parseAddress(request.get_param_value("at"));
+    if (!at)
+      return false;
+    Net.addInstance(id, *at);
+  } else if (verb == "remove") {
+    Net.removeInstance(id);
+  } else if (verb == "start" || verb == "stop") {
+    People.setRunning(verb == "start");
+  } else if (verb == "canary") {
+    People.startCanary(static_cast<uint16_t>(share("port")), nowMs());
+  } else if (verb == "rate") {
+    People.setRequestRate(share("value"));
+  } else if (verb == "faults") {
+    Net.Faults.Drop = share("drop");
+    Net.Faults.Duplicate = share("duplicate");
+    Net.Faults.Delay = share("delay");
+  } else {
+    return false;
+  }
+  return true;
+}
+
+QJsonObject FabricServer::stats() const {
+  const standin::CallerStats &it = People.stats();
+  return {{"flows", static_cast<qint64>(it.FlowsOpened)},
+          {"never_opened", static_cast<qint64>(it.FlowsNeverOpened)},
+          {"broken_by_reset", static_cast<qint64>(it.BrokenByReset)},
+          {"broken_by_silence", static_cast<qint64>(it.BrokenBySilence)},
+          {"requests", static_cast<qint64>(it.Requests)},
+          {"answered", static_cast<qint64>(it.Answered)},
+          {"lost", static_cast<qint64>(it.Lost)},
+          {"crossed", static_cast<qint64>(it.Crossed)},
+          {"in_progress", static_cast<qint64>(People.requestsInProgress())},
+          {"not_run", reasonsJson(it.NotRun)},
+          {"unknown", reasonsJson(it.Unknown)},
+          {"latency_p50_ms", percentile(it.LatenciesMs, 0.5)},
+          {"latency_p99_ms", percentile(it.LatenciesMs, 0.99)},
+          {"rule_lag_p99_ms", percentile(it.RuleLagsMs, 0.99)},
+          {"rule_lags", static_cast<qint64>(it.RuleLagsMs.size())}};
+}
+
+void FabricServer::serve(httplib::Server &server) {
+  server.Post("/control", [this](const httplib::Request &request,
+                                 httplib::Response &response) {
+    std::lock_guard lock(Lock);
+    if (!command(request))
+      response.status = 400;
+    response.set_content("{}", "application/json");
+  });
+  server.Get("/stats", [this](const httplib::Request & /*request*/,
+                              httplib::Response &response) {
+    std::lock_guard lock(Lock);
+    response.set_content(QJsonDocument(stats()).toJson().toStdString(),
+                         "application/json");
+  });
+  server.Get("/ids", [this](const httplib::Request & /*request*/,
+                            httplib::Response &response) {
+    std::lock_guard lock(Lock);
+    std::string out;
+    for (uint64_t it : People.stats().NotRunIds)
+      out += "not_run " + std::to_string(it) + '\n';
+    for (uint64_t it : People.stats().UnknownIds)
+      out += "unknown " + std::to_string(it) + '\n';
+    response.set_content(out, "text/plain");
+  });
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app("Stands in for the fabric and the callers.");
+  std::string ip = "127.0.0.1";
+  std::vector<std::string> services;
+  standin::CallerOptions options;
+  uint64_t seed = 1;
+  app.add_option("--ip", ip, "Where to listen");
+  app.add_option("--service", services, "NAME=IP:PORT; the first has feeds")
+      ->required();
+  app.add_option("--feeds", options.Feeds, "Flows that stay open");
+  app.add_option("--requests", options.RequestsPerSecond, "In a second");
+  app.add_option("--deadline-ms", options.DeadlineMs, "Of each request");
+  app.add_option("--idempotent", options.IdempotentShare, "Share of requests");
+  app.add_option("--seed", seed, "For all that is random");
+  CLI11_PARSE(app, argc, argv);
+  for (const std::string &it : services) {
+    size_t equals = it.find('=');
+    auto at = chicory::parseAddress(
+        equals == std::string::npos ? "" : it.substr(equals + 1));
+    if (!at)
+      return 2;
+    options.Services.push_back({.Name = it.substr(0, equals), .At = *at});
+  }
+  auto socket =
+      chicory::bindUdp({.Ip = chicory::parseIp(ip).value_or(0), .Port = 0});
+  if (!socket)
+    return 1;
+  std::printf("fabric=%s\n",
+              chicory::formatAddress(chicory::boundAddress(*socket)).c_str());
+  FabricServer fabric(std::move(*socket), options, seed);
+  httplib::Server server;
+  server.new_task_queue = [] { return new httplib::ThreadPool(4); };
+  fabric.serve(server);
+  int port = server.bind_to_any_port("127.0.0.1");
+  std::printf("port=%d\n", port);
+  std::fflush(stdout);
+  std::thread http([&server] { server.listen_after_bind(); });
+  fabric.loop();
+  http.join();
+  return 0;
+}
--- /dev/null
+++ b/standins/platform/Main.cpp
@@ -0,0 +1,319 @@
+// standin-platform: stands in for the platform in tests and in the demo.
+//
+// It serves the JSON form of the etcd v3 API that `platform/KeyValue.h` names,
+// limits its rates as the platform does, and has switches for its faults:
+//   POST /control/faults?down=1&slow_ms=N&lose_answers=1&cut=127.0.2.
+//   POST /control/instances   (the true list; readers see it after the lag)
+// It prints "port=N" when it is ready.
+
+#include "Store.h"
+
+#include <CLI/CLI.hpp>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <httplib.h>
+#include <thread>
+
+namespace {
+
+using standin::Store;
+
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusUnavailable = 503;
+constexpr int LostAnswerMs = 6000;
+constexpr int WatchWaitMs = 500;
+constexpr size_t MaxValueBytes = 1 << 20;
+
+int64_t nowMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string decoded(const QJsonValue &value) {
+  return QByteArray::fromBase64(value.toString().toLatin1()).toStdString();
+}
+
+QString encoded(const std::string &text) {
+  return QString::fromLatin1(QByteArray::fromStdString(text).toBase64());
+}
+
+int64_t number(const QJsonValue &value) {
+  return value.isString() ? value.toString().toLongLong() : value.toInteger();
+}
+
+/// At most so many calls in a second, in bursts of a second's worth.
+class RateLimit {
+public:
+  explicit RateLimit(int64_t perSecond) : PerSecond(perSecond) {}
+
+  bool take() {
+    std::lock_guard lock(Lock);
+    int64_t second = nowMs() / 1000;
+    if (second != Second) {
+      Second = second;
+      Taken = 0;
+    }
+    return ++Taken <= PerSecond;
+  }
+
+private:
+  std::mutex Lock;
+  int64_t PerSecond;
+  int64_t Second = 0;
+  int64_t Taken = 0;
+};
+
+struct Faults {
+  std::mutex Lock;
+  bool Down = false;
+  int SlowMs = 0;
+  bool LoseAnswers = false;
+  /// Callers whose IP begins with this are cut off.
+  std::string Cut;
+};
+
+class PlatformServer {
+public:
+  PlatformServer(int64_t writesPerSecond, int64_t readsPerSecond, int lagMs)
+      : Writes(writesPerSecond), Reads(readsPerSecond), LagMs(lagMs) {}
+
+  int run(const std::string &ip, int port);
+
+private:
+  using Handler = std::function<QJsonObject(const QJsonObject &)>;
+
+  bool unreachable(const httplib::Request &request);
+  void route(const char *path, bool writes, Handler handler);
+  void addKeyValueRoutes();
+  void addWatchRoute();
+  void addControlRoutes();
+  void background();
+
+  httplib::Server Server;
+  Store Data;
+  Faults Broken;
+  RateLimit Writes;
+  RateLimit Reads;
+  int LagMs;
+  std::mutex ListLock;
+  std::deque<std::pair<int64_t, QJsonObject>> PendingLists;
+  std::atomic<bool> Stopping = false;
+  std::atomic<int64_t> Calls = 0;
+};
+
+bool PlatformServer::unreachable(const httplib::Request &request) {
+  std::lock_guard lock(Broken.Lock);
+  bool cut =
+      !Broken.Cut.empty() && request.remote_addr.rfind(Broken.Cut, 0) == 0;
+  return Broken.Down || cut;
+}
+
+void PlatformServer::route(const char *path, bool writes, Handler handler) {
+  Server.Post(path, [this, writes, handler](const httplib::Request &request,
+                                            httplib::Response &response) {
+    ++Calls;
+    if (unreachable(request)) {
+      response.status = StatusUnavailable;
+      return;
+    }
+    if (!(writes ? Writes : Reads).take()) {
+      response.status = StatusTooManyRequests;
+      return;
+    }
+    int slowMs = 0;
+    bool lose = false;
+    {
+      std::lock_guard lock(Broken.Lock);
+      slowMs = Broken.SlowMs;
+      lose = Broken.LoseAnswers && writes;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(slowMs));
+    QJsonObject body =
+        QJsonDocument::fromJson(QByteArray::fromStdString(request.body))
+            .object();
+    QJsonObject answer = handler(body);
+    if (lose) // It has taken effect; the caller's time-out comes first.
+      std::this_thread::sleep_for(std::chrono::milliseconds(LostAnswerMs));
+    response.set_content(
+        QJsonDocument(answer).toJson(QJsonDocument::Compact).toStdString(),
+        "application/json");
+  });
+}
+
+QJsonObject keyValueJson(const std::string &key,
+                         const standin::StoredValue &value) {
+  return {{"key", encoded(key)},
+          {"value", encoded(value.Value)},
+          {"mod_revision", QString::number(value.ModRevision)}};
+}
+
+void PlatformServer::addKeyValueRoutes() {
+  route("/v3/kv/range", false, [this](const QJsonObject &body) {
+    QJsonArray list;
+    for (const auto &[key, value] :
+         Data.range(decoded(body["key"]), decoded(body["range_end"])))
+      list.append(keyValueJson(key, value));
+    return QJsonObject{{"kvs", list}};
+  });
+  route("/v3/kv/put", true, [this](const QJsonObject &body) {
+    std::string value = decoded(body["value"]);
+    if (value.size() > MaxValueBytes)
+      return QJsonObject{{"error", "value too large"}};
+    Data.put(decoded(body["key"]), value, number(body["lease"]));
+    return QJsonObject{{"header", QJsonObject()}};
+  });
+  route("/v3/kv/deleterange", true, [this](const QJsonObject &body) {
+    int64_t n = Data.remove(decoded(body["key"]), decoded(body["range_end"]));
+    return QJsonObject{{"deleted", QString::number(n)}};
+  });
+  route("/v3/kv/txn", true, [this](const QJsonObject &body) {
+    QJsonObject compare = body["compare"].toArray().at(0).toObject();
+    std::vector<std::pair<std::string, std::string>> writes;
+    const QJsonArray success = body["success"].toArray();
+    for (const QJsonValue &it : success) {
+      QJsonObject put = it.toObject()["request_put"].toObject();
+      writes.emplace_back(decoded(put["key"]), decoded(put["value"]));
+    }
+    bool done = Data.swap(decoded(compare["key"]),
+                          number(compare["mod_revision"]), writes);
+    return QJsonObject{{"succeeded", done}};
+  });
+  route("/v3/lease/grant", true, [this](const QJsonObject &body) {
+    int64_t id = Data.grantLease(number(body["TTL"]), nowMs());
+    return QJsonObject{{"ID", QString::number(id)}, {"TTL", body["TTL"]}};
+  });
+  route("/v3/lease/keepalive", true, [this](const QJsonObject &body) {
+    bool kept = Data.keepLease(number(body["ID"]), nowMs());
+    return QJsonObject{
+        {"result", QJsonObject{{"ID", body["ID"]}, {"TTL", kept ? "1" : "0"}}}};
+  });
+}
+
+void PlatformServer::addWatchRoute() {
+  Server.Post("/v3/watch", [this](const httplib::Request &request,
+                                  httplib::Response &response) {
+    ++Calls;
+    if (unreachable(request) || !Reads.take()) {
+      response.status = StatusUnavailable;
+      return;
+    }
+    QJsonObject create =
+        QJsonDocument::fromJson(QByteArray::fromStdString(request.body))
+            .object()["create_request"]
+            .toObject();
+    std::string from = decoded(create["key"]);
+    std::string end = decoded(create["range_end"]);
+    auto seen = std::make_shared<int64_t>(Data.revision());
+    auto provider = [this, request, from, end, seen](size_t,
+                                                     httplib::DataSink &sink) {
+      if (Stopping || unreachable(request))
+        return false;
+      QJsonArray events;
+      for (const standin::Change &it : Data.changesAfter(*seen, WatchWaitMs)) {
+        *seen = it.Revision;
+        if (it.Key >= from && it.Key < end && !it.Deleted)
+          events.append(QJsonObject{{"kv", keyValueJson(it.Key, it.Value)}});
+      }
+      // A line without events shows that the connection lives.
+      QJsonObject line{{"result", QJsonObject{{"events", events}}}};
+      QByteArray bytes = QJsonDocument(line).toJson(QJsonDocument::Compact);
+      bytes.append('\n');
+      return sink.write(bytes.constData(), static_cast<size_t>(bytes.size()));
+    };
+    response.set_chunked_content_provider("application/json", provider);
+  });
+}
+
+void PlatformServer::addControlRoutes() {
+  Server.Post("/control/faults", [this](const httplib::Request &request,
+                                        httplib::Response & /*response*/) {
+    std::lock_guard lock(Broken.Lock);
+    Broken.Down = request.get_param_value("down") == "1";
+    Broken.SlowMs = std::atoi(request.get_param_value("slow_ms").c_str());
+    Broken.LoseAnswers = request.get_param_value("lose_answers") == "1";
+    Broken.Cut = request.get_param_value("cut");
+  });
+  Server.Post("/control/instances", [this](const httplib::Request &request,
+                                           httplib::Response &response) {
+    std::lock_guard lock(ListLock);
+    QJsonDocument list =
+        QJsonDocument::fromJson(QByteArray::fromStdString(request.body));
+    PendingLists.emplace_back(nowMs() + LagMs, list.object());
+    response.set_content("{}", "application/json");
+  });
+  Server.Get("/control/calls", [this](const httplib::Request & /*request*/,
+                                      httplib::Response &response) {
+    response.set_content(std::to_string(Calls), "text/plain");
+  });
+}
+
+void PlatformServer::background() {
+  const std::string prefix = "platform/instances/";
+  while (!Stopping) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    Data.expireLeases(nowMs());
+    std::optional<QJsonObject> due;
+    {
+      std::lock_guard lock(ListLock);
+      while (!PendingLists.empty() && PendingLists.front().first <= nowMs()) {
+        due = PendingLists.front().second;
+        PendingLists.pop_front();
+      }
+    }
+    if (!due)
+      continue;
+    for (const auto &[key, value] : Data.range(prefix, "platform/instances0"))
+      if (!due->contains(QString::fromStdString(key.substr(prefix.size()))))
+        Data.remove(key, "");
+    for (auto it = due->begin(); it != due->end(); ++it)
+      Data.put(prefix + it.key().toStdString(),
+               QJsonDocument(it.value().toObject())
+                   .toJson(QJsonDocument::Compact)
+                   .toStdString());
+  }
+}
+
+int PlatformServer::run(const std::string &ip, int port) {
+  constexpr size_t ServerThreads = 64;
+  Server.new_task_queue = [] { return new httplib::ThreadPool(ServerThreads); };
+  addKeyValueRoutes();
+  addWatchRoute();
+  addControlRoutes();
+  int bound = port;
+  if (port == 0)
+    bound = Server.bind_to_any_port(ip.c_str());
+  else if (!Server.bind_to_port(ip.c_str(), port))
+    bound = -1;
+  if (bound < 0)
+    return 1;
+  std::printf("port=%d\n", bound);
+  std::fflush(stdout);
+  std::thread worker([this] { background(); });
+  Server.listen_after_bind();
+  Stopping = true;
+  worker.join();
+  return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app("Stands in for the platform's key-value service.");
+  std::string ip = "127.0.0.1";
+  int port = 0;
+  int lagMs = 1000;
+  int64_t writes = 300;
+  int64_t reads = 2000;
+  app.add_option("--ip", ip, "Where to listen");
+  app.add_option("--port", port, "Zero takes a free one");
+  app.add_option("--list-lag-ms", lagMs, "How far the list of instances lags");
+  app.add_option("--writes", writes, "Writes taken in a second");
+  app.add_option("--reads", reads, "Reads taken in a second");
+  CLI11_PARSE(app, argc, argv);
+  return PlatformServer(writes, reads, lagMs).run(ip, port);
+}
--- /dev/null
+++ b/standins/platform/Store.h
@@ -0,0 +1,71 @@
+// The platform stand-in's keys, leases and revisions, without any network.
+
+#ifndef CHICORYBANK_STANDINS_PLATFORM_STORE_H
+#define CHICORYBANK_STANDINS_PLATFORM_STORE_H
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace standin {
+
+/// A key's value and the revision that wrote it.
+struct StoredValue {
+  std::string Value;
+  int64_t ModRevision = 0;
+  int64_t Lease = 0;
+};
+
+/// One change, for watches.
+struct Change {
+  int64_t Revision = 0;
+  std::string Key;
+  StoredValue Value;
+  bool Deleted = false;
+};
+
+/// Keys with compare-and-swap, leases and a log of changes.
+class Store {
+public:
+  std::vector<std::pair<std::string, StoredValue>>
+  range(const std::string &from, const std::string &end) const;
+  int64_t put(const std::string &key, const std::string &value,
+              int64_t lease = 0);
+  int64_t remove(const std::string &from, const std::string &end);
+  /// Applies all writes if the key has this revision.
+  bool swap(const std::string &key, int64_t expected,
+            const std::vector<std::pair<std::string, std::string>> &writes);
+  int64_t grantLease(int64_t seconds, int64_t nowMs);
+  bool keepLease(int64_t id, int64_t nowMs);
+  void expireLeases(int64_t nowMs);
+  int64_t revision() const;
+  /// Changes after a revision; waits for one for at most `waitMs`.
+  std::vector<Change> changesAfter(int64_t revision, int waitMs);
+
+private:
+  struct Lease {
+    int64_t Seconds = 0;
+    int64_t ExpiresMs = 0;
+  };
+  static constexpr size_t ChangesKept = 10'000;
+
+  int64_t putLocked(const std::string &key, const std::string &value,
+                    int64_t lease);
+  int64_t removeLocked(const std::string &from, const std::string &end);
+
+  mutable std::mutex Lock;
+  std::condition_variable Changed;
+  std::map<std::string, StoredValue> Values;
+  std::map<int64_t, Lease> Leases;
+  std::deque<Change> Changes;
+  int64_t Revision = 1;
+};
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/standins/wire/Main.cpp
@@ -0,0 +1,240 @@
+// standin-wire: the network between instances. It relays UDP and TCP, counts
+// what goes over TCP (the control traffic), and can cut a zone off.
+//
+//   POST /relay?packets=IP:PORT&peers=IP:PORT   -> the addresses of the relays
+//   POST /cut?net=127.0.3.   (empty: heal)
+//   GET  /stats
+// It prints "port=N" when it is ready.
+
+#include "chicorybank/base/Socket.h"
+
+#include <CLI/CLI.hpp>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <httplib.h>
+#include <list>
+#include <map>
+#include <mutex>
+#include <poll.h>
+#include <sys/socket.h>
+#include <thread>
+
+namespace {
+
+using chicory::Address;
+using chicory::FileDescriptor;
+
+constexpr int PollMs = 5;
+constexpr size_t BufferBytes = 65536;
+constexpr int MaxReadsPerTurn = 256;
+
+std::string errorJson() { return "{\"error\": \"bad address\"}"; }
+
+/// One relayed TCP connection.
+struct Pair {
+  FileDescriptor Client;
+  FileDescriptor Server;
+  uint32_t ClientIp = 0;
+  uint32_t ServerIp = 0;
+  std::string ToServer;
+  std::string ToClient;
+  bool Dead = false;
+};
+
+struct UdpRelay {
+  FileDescriptor Socket;
+  Address To;
+};
+
+struct TcpRelay {
+  FileDescriptor Listener;
+  Address To;
+};
+
+class Wire {
+public:
+  void loop();
+  void serve(httplib::Server &server);
+
+private:
+  bool cutBetween(uint32_t one, uint32_t other) const;
+  void relayUdp(UdpRelay &relay);
+  void acceptTcp(TcpRelay &relay);
+  void pump(Pair &pair);
+  bool move(const FileDescriptor &from, std::string &pending);
+  bool flush(const FileDescriptor &to, std::string &pending);
+  void closeSecond();
+
+  std::mutex Lock;
+  std::list<UdpRelay> Udp;
+  std::list<TcpRelay> Tcp;
+  std::list<Pair> Pairs;
+  std::string Cut;
+  std::map<uint32_t, uint64_t> BytesNow;
+  uint64_t MostInSecond = 0;
+  std::chrono::steady_clock::time_point SecondEnds;
+};
+
+bool Wire::cutBetween(uint32_t one, uint32_t other) const {
+  if (Cut.empty())
+    return false;
+  bool first = chicory::formatIp(one).rfind(Cut, 0) == 0;
+  bool second = chicory::formatIp(other).rfind(Cut, 0) == 0;
+  return first != second;
+}
+
+void Wire::relayUdp(UdpRelay &relay) {
+  std::array<char, BufferBytes> buf;
+  for (int n = 0; n < MaxReadsPerTurn; ++n) {
+    sockaddr_in from{};
+    socklen_t size = sizeof(from);
+    ssize_t got = ::recvfrom(relay.Socket.get(), buf.data(), buf.size(), 0,
+                             reinterpret_cast<sockaddr *>(&from), &size);
+    if (got < 0)
+      return;
+    if (cutBetween(chicory::fromSockaddr(from).Ip, relay.To.Ip))
+      continue;
+    sockaddr_in to = chicory::toSockaddr(relay.To);
+    ::sendto(relay.Socket.get(), buf.data(), static_cast<size_t>(got), 0,
+             reinterpret_cast<sockaddr *>(&to), sizeof(to));
+  }
+}
+
+void Wire::acceptTcp(TcpRelay &relay) {
+  sockaddr_in from{};
+  socklen_t size = sizeof(from);
+  FileDescriptor client(::accept4(relay.Listener.get(),
+                                  reinterpret_cast<sockaddr *>(&from), &size,
+                                  SOCK_NONBLOCK | SOCK_CLOEXEC));
+  uint32_t ip = chicory::fromSockaddr(from).Ip;
+  if (!client.valid())
+    return;
+  auto server = chicory::connectTcp(0, relay.To);
+  // A refusal shows on the next poll and closes the client's side too.
+  if (server)
+    Pairs.push_back({.Client = std::move(client),
+                     .Server = std::move(*server),
+                     .ClientIp = ip,
+                     .ServerIp = relay.To.Ip});
+}
+
+bool Wire::move(const FileDescriptor &from, std::string &pending) {
+  std::array<char, BufferBytes> buf;
+  ssize_t got = ::recv(from.get(), buf.data(), buf.size(), 0);
+  if (got > 0)
+    pending.append(buf.data(), static_cast<size_t>(got));
+  return got > 0 || (got < 0 && (errno == EAGAIN || errno == ENOTCONN));
+}
+
+bool Wire::flush(const FileDescriptor &to, std::string &pending) {
+  if (pending.empty())
+    return true;
+  ssize_t sent = ::send(to.get(), pending.data(), pending.size(), MSG_NOSIGNAL);
+  if (sent > 0)
+    pending.erase(0, static_cast<size_t>(sent));
+  return sent > 0 || (sent < 0 && (errno == EAGAIN || errno == ENOTCONN));
+}
+
+void Wire::pump(Pair &pair) {
+  // A cut drops nothing of a TCP stream: it holds it up until it is healed.
+  if (cutBetween(pair.ClientIp, pair.ServerIp))
+    return;
+  size_t before = pair.ToServer.size();
+  bool ok = move(pair.Client, pair.ToServer);
+  BytesNow[pair.ClientIp] += pair.ToServer.size() - before;
+  ok = move(pair.Server, pair.ToClient) && ok;
+  ok = flush(pair.Server, pair.ToServer) && ok;
+  ok = flush(pair.Client, pair.ToClient) && ok;
+  pair.Dead = !ok;
+}
+
+void Wire::closeSecond() {
+  auto now = std::chrono::steady_clock::now();
+  if (now < SecondEnds)
+    return;
+  SecondEnds = now + std::chrono::seconds(1);
+  for (auto &[ip, bytes] : BytesNow)
+    MostInSecond = std::max(MostInSecond, bytes);
+  BytesNow.clear();
+}
+
+void Wire::loop() {
+  for (;;) {
+    std::vector<pollfd> fds;
+    {
+      std::lock_guard lock(Lock);
+      for (const UdpRelay &it : Udp)
+        fds.push_back({.fd = it.Socket.get(), .events = POLLIN});
+      for (const TcpRelay &it : Tcp)
+        fds.push_back({.fd = it.Listener.get(), .events = POLLIN});
+    }
+    ::poll(fds.data(), fds.size(), PollMs);
+    std::lock_guard lock(Lock);
+    for (UdpRelay &it : Udp)
+      relayUdp(it);
+    for (TcpRelay &it : Tcp)
+      acceptTcp(it);
+    for (Pair &it : Pairs)
+      pump(it);
+    Pairs.remove_if([](const Pair &it) { return it.Dead; });
+    closeSecond();
+  }
+}
+
+void Wire::serve(httplib::Server &server) {
+  server.Post("/relay", [this](const httplib::Request &request,
+                               httplib::Response &response) {
+    auto packets = chicory::parseAddress(request.get_param_value("packets"));
+    auto peers = chicory::parseAddress(request.get_param_value("peers"));
+    if (!packets || !peers)
+      return response.set_content(errorJson(), "application/json");
+    auto udp = chicory::bindUdp({.Ip = packets->Ip, .Port = 0});
+    auto tcp = chicory::listenTcp({.Ip = peers->Ip, .Port = 0});
+    if (!udp || !tcp)
+      return response.set_content(errorJson(), "application/json");
+    QJsonObject out{{"packets", QString::fromStdString(chicory::formatAddress(
+                                    chicory::boundAddress(*udp)))},
+                    {"peers", QString::fromStdString(chicory::formatAddress(
+                                  chicory::boundAddress(*tcp)))}};
+    std::lock_guard lock(Lock);
+    Udp.push_back({.Socket = std::move(*udp), .To = *packets});
+    Tcp.push_back({.Listener = std::move(*tcp), .To = *peers});
+    response.set_content(QJsonDocument(out).toJson().toStdString(),
+                         "application/json");
+  });
+  server.Post("/cut", [this](const httplib::Request &request,
+                             httplib::Response &response) {
+    std::lock_guard lock(Lock);
+    Cut = request.get_param_value("net");
+    response.set_content("{}", "application/json");
+  });
+  server.Get("/stats", [this](const httplib::Request & /*request*/,
+                              httplib::Response &response) {
+    std::lock_guard lock(Lock);
+    response.set_content(
+        "{\"bytes_per_s_max\": " + std::to_string(MostInSecond) + "}",
+        "application/json");
+  });
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app("Stands in for the network between instances.");
+  CLI11_PARSE(app, argc, argv);
+  Wire wire;
+  httplib::Server server;
+  server.new_task_queue = [] { return new httplib::ThreadPool(4); };
+  wire.serve(server);
+  int port = server.bind_to_any_port("127.0.0.1");
+  std::printf("port=%d\n", port);
+  std::fflush(stdout);
+  std::thread http([&server] { server.listen_after_bind(); });
+  wire.loop();
+  http.join();
+  return 0;
+}
