--- a/lib/core/Core.cpp
+++ b/lib/core/Core.cpp
@@ -96,8 +96,8 @@
   // An instance that joins and knows no home yet must not judge: it would
   // reset established flows because it has never heard of them. The caller's
   // next packet finds a home.
-  bool blind = to == InstanceId{} &&
-               State.Members.state() == InstanceState::Joining;
+  bool blind =
+      to == InstanceId{} && State.Members.state() == InstanceState::Joining;
   if (blind)
     return State.refuse(Reason::NoRules);
   bool here = to == State.self() || to == InstanceId{};
--- a/lib/core/RequestPath.cpp
+++ b/lib/core/RequestPath.cpp
@@ -83,8 +83,8 @@
   // Once its record may have been forgotten, nobody can tell what became of a
   // request.
   bool remembered = now < deadline + KeepAfterDeadline;
-  RefusedOutcome ifRefused = who.Sole && remembered ? RefusedOutcome::NotRun
-                                                    : RefusedOutcome::Unknown;
+  RefusedOutcome ifRefused =
+      who.Sole && remembered ? RefusedOutcome::NotRun : RefusedOutcome::Unknown;
   if (deadline <= now)
     return refuseStateless(
         content, {.Outcome = ifRefused, .Why = Reason::DeadlinePassed},
--- a/lib/peer/Messages.cpp
+++ b/lib/peer/Messages.cpp
@@ -1,11 +1,10 @@
 #include "chicorybank/peer/Messages.h"
 
+#include "chicorybank/base/CborReader.h"
 #include "chicorybank/base/Hash.h"
 
-#include <QCborArray>
 #include <QCborStreamReader>
 #include <QCborStreamWriter>
-#include <QCborValue>
 #include <QCryptographicHash>
 #include <QMessageAuthenticationCode>
 
@@ -17,7 +16,6 @@
 // The head of a datagram is a CBOR array of four; a packet is one of thirteen.
 constexpr uint64_t HeadFields = 4;
 constexpr auto HeadByte = static_cast<char>(0x84);
-constexpr qint64 MaxPackedAddress = (qint64{1} << 48) - 1;
 
 enum class ControlType : qint64 { Heartbeat = 1, RuleRequest, RuleDocument };
 enum class DatagramType : uint64_t { PassOn = 1, Query, Reply };
@@ -67,55 +65,8 @@
                     encodeIds(document.Members), encodeIds(document.Previous)};
 }
 
-/// Reads the fields of an array and remembers whether all had their kind.
-class FieldReader {
-public:
-  explicit FieldReader(const QCborValue &value)
-      : Items(value.toArray()), Ok(value.isArray()) {}
-
-  qint64 number(qint64 most = INT64_MAX) {
-    QCborValue value = next();
-    qint64 out = value.toInteger(-1);
-    require(value.isInteger() && out >= 0 && out <= most);
-    return out;
-  }
-  /// A number that uses all 64 bits.
-  uint64_t bits() {
-    QCborValue value = next();
-    require(value.isInteger());
-    return static_cast<uint64_t>(value.toInteger());
-  }
-  std::string text() {
-    QCborValue value = next();
-    require(value.isString());
-    return value.toString().toStdString();
-  }
-  QByteArray bytes() {
-    QCborValue value = next();
-    require(value.isByteArray());
-    return value.toByteArray();
-  }
-  Address address() {
-    return Address::unpack(static_cast<uint64_t>(number(MaxPackedAddress)));
-  }
-  QCborArray list() {
-    QCborValue value = next();
-    require(value.isArray());
-    return value.toArray();
-  }
-  void require(bool condition) { Ok = Ok && condition; }
-  bool done() const { return Ok && Position == Items.size(); }
-
-private:
-  QCborValue next() { return Items.at(Position++); }
-
-  QCborArray Items;
-  qsizetype Position = 0;
-  bool Ok;
-};
-
-InstanceInfo readInfo(FieldReader &outer, const QCborValue &value) {
-  FieldReader reader(value);
+InstanceInfo readInfo(CborReader &outer, const QCborValue &value) {
+  CborReader reader(value);
   InstanceInfo out;
   out.Id.Value = static_cast<uint32_t>(reader.number(UINT32_MAX));
   if (!reader.done()) {
@@ -128,7 +79,7 @@
   return out;
 }
 
-std::vector<InstanceId> readInstances(FieldReader &outer) {
+std::vector<InstanceId> readInstances(CborReader &outer) {
   std::vector<InstanceId> out;
   const QCborArray list = outer.list();
   for (const QCborValue &it : list) {
@@ -138,7 +89,7 @@
   return out;
 }
 
-std::vector<PageId> readPageIds(FieldReader &outer) {
+std::vector<PageId> readPageIds(CborReader &outer) {
   std::vector<PageId> out;
   const QCborArray list = outer.list();
   for (const QCborValue &it : list) {
@@ -148,12 +99,12 @@
   return out;
 }
 
-MembersDocument readDocument(FieldReader &outer) {
+MembersDocument readDocument(CborReader &outer) {
   QCborArray list = outer.list();
   MembersDocument out;
   if (list.isEmpty())
     return out;
-  FieldReader reader(list);
+  CborReader reader(list);
   out.Version.Value = static_cast<uint64_t>(reader.number());
   out.Members = readInstances(reader);
   out.Previous = readInstances(reader);
@@ -178,7 +129,7 @@
           encodeDocument(message.Document)};
 }
 
-Heartbeat readHeartbeat(FieldReader &reader) {
+Heartbeat readHeartbeat(CborReader &reader) {
   Heartbeat out;
   out.Sender = readInfo(reader, reader.list());
   out.Incarnation = reader.bits();
@@ -208,7 +159,7 @@
           encodeInfo(message.Sender), encodeIds(message.Have)};
 }
 
-RuleRequest readRuleRequest(FieldReader &reader) {
+RuleRequest readRuleRequest(CborReader &reader) {
   RuleRequest out;
   out.Sender = readInfo(reader, reader.list());
   out.Have = readPageIds(reader);
@@ -223,7 +174,7 @@
           encodeManifest(message.Manifest), pages};
 }
 
-RuleDocument readRuleDocument(FieldReader &reader) {
+RuleDocument readRuleDocument(CborReader &reader) {
   RuleDocument out;
   tl::expected<RuleManifest, Reason> manifest = decodeManifest(reader.bytes());
   reader.require(manifest.has_value());
@@ -350,7 +301,7 @@
 }
 
 tl::expected<ControlMessage, Reason> decodeControl(const QByteArray &bytes) {
-  FieldReader reader(QCborValue::fromCbor(bytes));
+  CborReader reader(decodeCbor(bytes));
   if (reader.number() != ProtocolVersion)
     return tl::make_unexpected(Reason::BadVersion);
   ControlMessage out;
--- a/lib/platform/RuleRegistry.cpp
+++ b/lib/platform/RuleRegistry.cpp
@@ -1,7 +1,7 @@
 #include "chicorybank/platform/RuleRegistry.h"
 
-#include <QCborArray>
-#include <QCborValue>
+#include "chicorybank/base/CborReader.h"
+
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <set>
@@ -38,14 +38,11 @@
   return out;
 }
 
-std::optional<std::vector<InstanceId>> decodeIds(const QCborValue &value) {
+std::vector<InstanceId> readIds(CborReader &outer) {
   std::vector<InstanceId> out;
-  if (!value.isArray())
-    return std::nullopt;
-  const QCborArray list = value.toArray();
+  const QCborArray list = outer.list();
   for (const QCborValue &it : list) {
-    if (!it.isInteger())
-      return std::nullopt;
+    outer.require(it.isInteger());
     out.push_back(InstanceId{static_cast<uint32_t>(it.toInteger())});
   }
   return out;
@@ -65,18 +62,14 @@
 }
 
 tl::expected<MembersDocument, Reason> decodeMembers(const QByteArray &bytes) {
-  constexpr qsizetype Fields = 3;
-  QCborArray list = QCborValue::fromCbor(bytes).toArray();
-  auto members = decodeIds(list.at(1));
-  auto previous = decodeIds(list.at(2));
-  bool ok =
-      list.size() == Fields && list.at(0).isInteger() && members && previous;
-  if (!ok)
+  CborReader reader(decodeCbor(bytes));
+  MembersDocument out;
+  out.Version.Value = static_cast<uint64_t>(reader.number());
+  out.Members = readIds(reader);
+  out.Previous = readIds(reader);
+  if (!reader.done())
     return tl::make_unexpected(Reason::BadPlatformValue);
-  return MembersDocument{
-      .Version = {static_cast<uint64_t>(list.at(0).toInteger())},
-      .Members = *members,
-      .Previous = *previous};
+  return out;
 }
 
 QByteArray encodeInstance(const InstanceInfo &info) {
--- a/lib/rules/RulePages.cpp
+++ b/lib/rules/RulePages.cpp
@@ -1,10 +1,8 @@
 #include "chicorybank/rules/RulePages.h"
 
+#include "chicorybank/base/CborReader.h"
 #include "chicorybank/base/Hash.h"
 
-#include <QCborArray>
-#include <QCborValue>
-
 namespace chicory {
 
 namespace {
@@ -43,48 +41,10 @@
                     qint64{service.Connections}, targets};
 }
 
-/// Reads items one after another and remembers whether all had their kind.
-class ItemReader {
-public:
-  explicit ItemReader(const QCborValue &value)
-      : Items(value.toArray()), Ok(value.isArray()) {}
-
-  qint64 number(qint64 most) {
-    QCborValue value = next();
-    qint64 out = value.toInteger(-1);
-    Ok = Ok && value.isInteger() && out >= 0 && out <= most;
-    return out;
-  }
-  std::string text() {
-    QCborValue value = next();
-    Ok = Ok && value.isString();
-    return value.toString().toStdString();
-  }
-  bool flag() {
-    QCborValue value = next();
-    Ok = Ok && value.isBool();
-    return value.toBool();
-  }
-  QCborArray list() {
-    QCborValue value = next();
-    Ok = Ok && value.isArray();
-    return value.toArray();
-  }
-  /// True where every item was read and had its kind.
-  bool done() const { return Ok && Position == Items.size(); }
-
-private:
-  QCborValue next() { return Items.at(Position++); }
-
-  QCborArray Items;
-  qsizetype Position = 0;
-  bool Ok;
-};
-
 std::optional<std::vector<Prefix>> decodePrefixes(const QCborArray &list) {
   std::vector<Prefix> out;
   for (const QCborValue &it : list) {
-    ItemReader reader(it);
+    CborReader reader(it);
     Prefix prefix{.Ip = static_cast<uint32_t>(reader.number(UINT32_MAX)),
                   .Length = static_cast<uint8_t>(reader.number(32))};
     if (!reader.done())
@@ -95,7 +55,7 @@
 }
 
 std::optional<Rule> decodeRule(const QCborValue &value) {
-  ItemReader reader(value);
+  CborReader reader(value);
   Rule out;
   out.Name = reader.text();
   auto sources = decodePrefixes(reader.list());
@@ -108,7 +68,7 @@
   out.Sources = *sources;
   out.Destinations = *destinations;
   for (const QCborValue &it : ports) {
-    ItemReader pair(it);
+    CborReader pair(it);
     PortRange range{.First = static_cast<uint16_t>(pair.number(UINT16_MAX)),
                     .Last = static_cast<uint16_t>(pair.number(UINT16_MAX))};
     if (!pair.done() || range.First > range.Last)
@@ -119,10 +79,9 @@
 }
 
 std::optional<Target> decodeTarget(const QCborValue &value) {
-  constexpr qint64 MaxPacked = (qint64{1} << 48) - 1;
-  ItemReader reader(value);
+  CborReader reader(value);
   Target out;
-  out.Id = Address::unpack(static_cast<uint64_t>(reader.number(MaxPacked)));
+  out.Id = reader.address();
   out.Zone = reader.text();
   out.Weight = static_cast<uint16_t>(reader.number(UINT16_MAX));
   out.Drain = reader.flag();
@@ -130,7 +89,7 @@
 }
 
 std::optional<Service> decodeService(const QCborValue &value) {
-  ItemReader reader(value);
+  CborReader reader(value);
   Service out;
   out.Name = reader.text();
   out.Id = serviceIdOf(out.Name);
@@ -181,7 +140,7 @@
     auto page = pages.find(id);
     if (page == pages.end() || pageIdOf(page->second) != id)
       return false;
-    QCborValue value = QCborValue::fromCbor(page->second);
+    QCborValue value = decodeCbor(page->second);
     if (!value.isArray())
       return false;
     const QCborArray list = value.toArray();
@@ -254,7 +213,7 @@
 }
 
 tl::expected<RuleManifest, Reason> decodeManifest(const QByteArray &bytes) {
-  ItemReader reader(QCborValue::fromCbor(bytes));
+  CborReader reader(decodeCbor(bytes));
   RuleManifest out;
   out.Version.Value = static_cast<uint64_t>(reader.number(INT64_MAX));
   out.SubmissionId = reader.text();
--- a/tests/CoreTest.cpp
+++ b/tests/CoreTest.cpp
@@ -7,12 +7,12 @@
 
 using namespace story;
 using namespace std::chrono_literals;
-using fakes::FakeDeployment;
-using samples::flow;
 using chicory::InstanceId;
 using chicory::InstanceState;
 using chicory::RuleSet;
 using chicory::RuleVersion;
+using fakes::FakeDeployment;
+using samples::flow;
 
 namespace {
 
@@ -148,9 +148,8 @@
     moved.Rules[0].Service = moved.Services[1].Id;
     world.submit(moved);
     world.run(2s);
-    section("established flows stay where they are", [&] {
-      expectAllAlive(world);
-    });
+    section("established flows stay where they are",
+            [&] { expectAllAlive(world); });
     section("no packet reaches the other service after a death", [&] {
       world.kill(InstanceId{4});
       for (uint32_t i = 0; i < Flows; ++i)
@@ -195,8 +194,7 @@
       open.Content = {.Kind = chicory::PacketKind::Open, .Flow = flow(i)};
       chicory::Actions actions;
       world.core(InstanceId{1})
-          .handle(chicory::PacketArrived{.Packet = open}, world.now(),
-                  actions);
+          .handle(chicory::PacketArrived{.Packet = open}, world.now(), actions);
       for (const auto &it : actions)
         if (const auto *passOn = std::get_if<chicory::PassOn>(&it))
           expectEqual<uint64_t>(2, passOn->Rules.Value);
@@ -212,25 +210,23 @@
     world.Watchers = {InstanceId{7}};
     world.submit(samples::ruleSet(1));
     section("one watcher is enough, within two seconds", [&] {
-      expectTrue(world.runUntil(
-                     [&] {
-                       auto ids = world.ids();
-                       return std::all_of(
-                           ids.begin(), ids.end(), [&](InstanceId it) {
-                             return world.core(it).stats().Rules ==
-                                    RuleVersion{2};
-                           });
-                     },
-                     2s),
-                 "version 2 is in force on all");
+      expectTrue(
+          world.runUntil(
+              [&] {
+                auto ids = world.ids();
+                return std::all_of(ids.begin(), ids.end(), [&](InstanceId it) {
+                  return world.core(it).stats().Rules == RuleVersion{2};
+                });
+              },
+              2s),
+          "version 2 is in force on all");
     });
     section("an older set is never taken in again", [&] {
       chicory::Actions actions;
       auto old = samples::compiled(samples::ruleSet(1));
       world.core(InstanceId{1})
           .handle(chicory::RulesLearned{.Rules = old}, world.now(), actions);
-      expectEqual<uint64_t>(2,
-                            world.core(InstanceId{1}).stats().Rules.Value);
+      expectEqual<uint64_t>(2, world.core(InstanceId{1}).stats().Rules.Value);
     });
   }
 
@@ -282,8 +278,7 @@
       chicory::PacketInFlight data;
       data.Content = {.Kind = chicory::PacketKind::Data, .Flow = silent};
       world.core(InstanceId{1})
-          .handle(chicory::PacketArrived{.Packet = data}, world.now(),
-                  actions);
+          .handle(chicory::PacketArrived{.Packet = data}, world.now(), actions);
       world.data(neighbour->first);
       world.run(1s);
     }
@@ -298,9 +293,9 @@
     chicory::Time now{1000s};
     chicory::Core core(options, now);
     chicory::Actions actions;
-    core.handle(chicory::RulesLearned{
-                    .Rules = samples::compiled(samples::ruleSet(1))},
-                now, actions);
+    core.handle(
+        chicory::RulesLearned{.Rules = samples::compiled(samples::ruleSet(1))},
+        now, actions);
     core.handle(chicory::Tick{}, now + 2s, actions);
     actions.clear();
     for (uint32_t i = 0; i < 12; ++i) {
@@ -338,8 +333,8 @@
       RC_ASSERT(world.settle());
       openAll(world, 20);
       auto first = world.Reached;
-      auto steps = *rc::gen::container<std::vector<int>>(
-          6, rc::gen::inRange(0, 4));
+      auto steps =
+          *rc::gen::container<std::vector<int>>(6, rc::gen::inRange(0, 4));
       for (int step : steps) {
         std::vector<InstanceId> ids = world.ids();
         if (step == 0 && ids.size() > 3)
@@ -361,8 +356,8 @@
       world.run(3s);
       for (uint32_t i = 0; i < 20; ++i) {
         RC_ASSERT(world.DataToCaller[flow(i)] > before[flow(i)]);
-        RC_ASSERT(world.Targets[first[flow(i)].front()].Flows.contains(
-            flow(i)));
+        RC_ASSERT(
+            world.Targets[first[flow(i)].front()].Flows.contains(flow(i)));
         RC_ASSERT(world.ResetsToCaller[flow(i)] == 0U);
       }
     });
@@ -377,8 +372,7 @@
       for (uint32_t i = 0; i < 50; ++i) {
         std::set<uint32_t> homes;
         for (InstanceId it : world.ids())
-          homes.insert(
-              world.core(it).explain(flow(i), world.now()).Home.Value);
+          homes.insert(world.core(it).explain(flow(i), world.now()).Home.Value);
         RC_ASSERT(homes.size() == 1U);
       }
     });
--- a/tests/FakeDeployment.cpp
+++ b/tests/FakeDeployment.cpp
@@ -262,9 +262,8 @@
 
 void FakeDeployment::cancel(const FlowKey &flow, uint64_t id) {
   PacketInFlight out;
-  out.Content = {.Kind = PacketKind::Cancel,
-                 .Flow = flow,
-                 .Request = RequestId{id}};
+  out.Content = {
+      .Kind = PacketKind::Cancel, .Flow = flow, .Request = RequestId{id}};
   spray(out);
 }
 
@@ -275,8 +274,8 @@
     return;
   FakeTarget &target = found->second;
   std::vector<TargetId> &reached = Reached[packet.Flow];
-  bool ofFlow = packet.Kind == PacketKind::Open ||
-                packet.Kind == PacketKind::Data;
+  bool ofFlow =
+      packet.Kind == PacketKind::Open || packet.Kind == PacketKind::Data;
   if (ofFlow && (reached.empty() || reached.back() != id))
     reached.push_back(id);
   switch (packet.Kind) {
--- a/tests/Main.cpp
+++ b/tests/Main.cpp
@@ -17,8 +17,7 @@
   CppUnit::TextUi::TestRunner runner;
   runner.setOutputter(
       new CppUnit::CompilerOutputter(&runner.result(), std::cerr));
-  CppUnit::Test *all =
-      CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+  CppUnit::Test *all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
   runner.addTest(all);
   std::string wanted = argc > 1 ? argv[1] : "";
   bool ok = runner.run(wanted, false, true, false);
--- /dev/null
+++ b/tests/PacketTest.cpp
@@ -0,0 +1,94 @@
+#include "chicorybank/packet/Packet.h"
+
+#include "Samples.h"
+#include "Story.h"
+
+using namespace story;
+using chicory::Packet;
+using chicory::PacketKind;
+using chicory::Reason;
+
+class PacketTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PacketTest);
+  CPPUNIT_TEST(readsBackWhatItWrites);
+  CPPUNIT_TEST(refusesBadDatagrams);
+  CPPUNIT_TEST(survivesGarbage);
+  CPPUNIT_TEST_SUITE_END();
+
+  static Packet sample() {
+    return {.Kind = PacketKind::Answer,
+            .ToCaller = true,
+            .Flow = samples::flow(3),
+            .Origin = samples::target(1),
+            .Request = chicory::RequestId{UINT64_MAX},
+            .Idempotent = true,
+            .Last = true,
+            .Part = 7,
+            .DeadlineMs = 1'700'000'000'000,
+            .Outcome = chicory::RefusedOutcome::Unknown,
+            .Why = Reason::QueueFull,
+            .RetryAfterMs = 250,
+            .Draining = true,
+            .Payload = "payload"};
+  }
+
+  void readsBackWhatItWrites() {
+    Packet packet = sample();
+    auto read = chicory::decodePacket(encodePacket(packet));
+    expectTrue(read.has_value(), "it can be read");
+    expectTrue(read->Kind == packet.Kind && read->ToCaller &&
+                   read->Flow == packet.Flow && read->Origin == packet.Origin &&
+                   read->Request == packet.Request && read->Idempotent &&
+                   read->Last && read->Part == 7 &&
+                   read->DeadlineMs == packet.DeadlineMs &&
+                   read->Outcome == packet.Outcome && read->Why == packet.Why &&
+                   read->RetryAfterMs == 250 && read->Draining &&
+                   read->Payload == "payload",
+               "every field is the same");
+    auto head = chicory::decodePacketHead(encodePacket(packet));
+    expectTrue(head && head->Flow == packet.Flow && head->ToCaller,
+               "and so is the head");
+  }
+
+  void refusesBadDatagrams() {
+    QByteArray good = encodePacket(sample());
+    section("empty", [&] {
+      expectTrue(chicory::decodePacket({}).error() == Reason::BadPacket,
+                 "bad packet");
+    });
+    section("another version", [&] {
+      QByteArray other = good;
+      other[1] = 2;
+      expectTrue(chicory::decodePacket(other).error() == Reason::BadVersion,
+                 "bad version");
+    });
+    section("bytes after the end",
+            [&] { expectTrue(!chicory::decodePacket(good + 'x'), "refused"); });
+    section("too long", [&] {
+      Packet large = sample();
+      large.Payload = QByteArray(2000, 'x');
+      expectTrue(!chicory::decodePacket(encodePacket(large)), "refused");
+      expectTrue(!chicory::decodePacketHead(encodePacket(large)), "refused");
+    });
+    section("cut off anywhere", [&] {
+      for (qsizetype n = 0; n < good.size(); ++n)
+        expectTrue(!chicory::decodePacket(good.left(n)), "refused");
+    });
+  }
+
+  void survivesGarbage() {
+    property("any bytes are refused or read, without a crash", [] {
+      auto bytes = *rc::gen::arbitrary<std::string>();
+      (void)chicory::decodePacket(QByteArray::fromStdString(bytes));
+      (void)chicory::decodePacketHead(QByteArray::fromStdString(bytes));
+    });
+    property("any damage is refused or read, without a crash", [] {
+      QByteArray bytes = encodePacket(sample());
+      auto at = *rc::gen::inRange<int>(0, static_cast<int>(bytes.size()));
+      bytes[at] = *rc::gen::arbitrary<char>();
+      (void)chicory::decodePacket(bytes);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PacketTest);
--- a/tests/RequestPathTest.cpp
+++ b/tests/RequestPathTest.cpp
@@ -224,16 +224,16 @@
       world.request(flow(i), i, false, Deadline);
       world.run(50ms);
     }
-    expectTrue(world.runUntil([&] { return world.stopped(InstanceId{2}); },
-                              20s),
-               "it becomes safe to end the instance");
+    expectTrue(
+        world.runUntil([&] { return world.stopped(InstanceId{2}); }, 20s),
+        "it becomes safe to end the instance");
     world.kill(InstanceId{2});
     world.run(3s);
     for (const auto &[id, told] : world.Outcomes)
       if (!told.Whole)
         for (Reason it : told.Reasons)
-          fail("request " + std::to_string(id) + " was refused: " +
-                   std::string(chicory::reasonName(it)),
+          fail("request " + std::to_string(id) +
+                   " was refused: " + std::string(chicory::reasonName(it)),
                std::source_location::current());
     expectEqual<size_t>(60, countAnswered(world));
     expectPromisesKept(world);
@@ -304,15 +304,13 @@
     world.run(50ms);
     world.cancel(flow(1), 1);
     world.run(50ms);
-    expectEqual<uint64_t>(0,
-                          world.core(InstanceId{1}).stats().RequestsNow);
+    expectEqual<uint64_t>(0, world.core(InstanceId{1}).stats().RequestsNow);
     section("a closed flow cancels its requests too", [&] {
       world.request(flow(2), 2, false, Deadline);
       world.run(50ms);
       world.close(flow(2));
       world.run(50ms);
-      expectEqual<uint64_t>(0,
-                            world.core(InstanceId{1}).stats().RequestsNow);
+      expectEqual<uint64_t>(0, world.core(InstanceId{1}).stats().RequestsNow);
     });
   }
 
@@ -362,8 +360,8 @@
       FakeDeployment world(5, seed);
       world.Duplicate = 0.1;
       RC_ASSERT(world.settle());
-      auto steps = *rc::gen::container<std::vector<int>>(
-          8, rc::gen::inRange(0, 9));
+      auto steps =
+          *rc::gen::container<std::vector<int>>(8, rc::gen::inRange(0, 9));
       std::mt19937 random(seed);
       uint64_t request = 1;
       InstanceId paused; // None.
@@ -396,8 +394,7 @@
               world.now() + std::chrono::milliseconds(500 + random() % 4000);
           for (int copy = 0; copy < 3; ++copy) {
             std::vector<InstanceId> now = world.ids();
-            world.requestAt(now[random() % now.size()], key, request,
-                            deadline);
+            world.requestAt(now[random() % now.size()], key, request, deadline);
             world.run(std::chrono::milliseconds(random() % 400));
           }
           ++request;
--- /dev/null
+++ b/tests/RuleRegistryTest.cpp
@@ -0,0 +1,257 @@
+// Submitting rule sets against a fake of the platform that can fail at any
+// call.
+
+#include "chicorybank/platform/RuleRegistry.h"
+
+#include "Samples.h"
+#include "Story.h"
+
+#include <map>
+
+using namespace story;
+using namespace chicory;
+
+namespace {
+
+/// Keys in memory, and a plan of which calls fail and how.
+class FakeService : public KeyValueService {
+public:
+  enum class Fault { None, Refused, AnswerLost };
+
+  /// The nth write from now on fails like this.
+  void failWrite(int n, Fault how) {
+    FailAt = Writes + n;
+    How = how;
+  }
+  /// Runs right before the next swap: another writer.
+  std::function<void()> BeforeSwap;
+  bool ReadsFail = false;
+
+  PlatformResult<std::vector<KeyValue>> get(const std::string &key) override {
+    if (ReadsFail)
+      return tl::make_unexpected(PlatformError::Unreachable);
+    std::vector<KeyValue> out;
+    if (auto it = Values.find(key); it != Values.end())
+      out.push_back(it->second);
+    return out;
+  }
+  PlatformResult<std::vector<KeyValue>>
+  list(const std::string &prefix) override {
+    if (ReadsFail)
+      return tl::make_unexpected(PlatformError::Unreachable);
+    std::vector<KeyValue> out;
+    for (const auto &[key, value] : Values)
+      if (key.starts_with(prefix))
+        out.push_back(value);
+    return out;
+  }
+  PlatformResult<bool> swap(const CompareAndSwap &swap) override {
+    if (auto before = std::exchange(BeforeSwap, nullptr))
+      before();
+    return write<bool>([&] {
+      auto it = Values.find(swap.Key);
+      int64_t actual = it == Values.end() ? 0 : it->second.ModRevision;
+      if (actual != swap.ExpectedRevision)
+        return false;
+      for (const KeyValuePut &put : swap.Puts)
+        store(put);
+      return true;
+    });
+  }
+  PlatformResult<void> put(const KeyValuePut &put) override {
+    return write<bool>([&] {
+             store(put);
+             return true;
+           })
+        .map([](bool) {});
+  }
+  PlatformResult<void> remove(const std::string &key) override {
+    Values.erase(key);
+    return {};
+  }
+  PlatformResult<void>
+  watch(const std::string &,
+        const std::function<bool(const KeyValue &)> &) override {
+    return {};
+  }
+  void interrupt() override {}
+
+  size_t count(const std::string &prefix) {
+    return list(prefix).value().size();
+  }
+
+private:
+  void store(const KeyValuePut &put) {
+    Values[put.Key] = {
+        .Key = put.Key, .Value = put.Value, .ModRevision = ++Revision};
+  }
+  template <typename T>
+  PlatformResult<T> write(const std::function<T()> &apply) {
+    Fault fault = ++Writes == FailAt ? How : Fault::None;
+    if (fault == Fault::Refused)
+      return tl::make_unexpected(PlatformError::Unreachable);
+    T result = apply();
+    if (fault == Fault::AnswerLost)
+      return tl::make_unexpected(PlatformError::Unknown);
+    return result;
+  }
+
+  std::map<std::string, KeyValue> Values;
+  int64_t Revision = 0;
+  int Writes = 0;
+  int FailAt = -1;
+  Fault How = Fault::None;
+};
+
+RuleSet submission(const std::string &id, uint32_t extra = 0) {
+  RuleSet out = samples::ruleSet(0);
+  out.SubmissionId = id;
+  for (uint32_t i = 0; i < extra; ++i)
+    out.Rules.push_back({.Name = id + std::to_string(i)});
+  return out;
+}
+
+uint64_t versionOf(const SubmitOutcome &outcome) {
+  const auto *accepted = std::get_if<Accepted>(&outcome);
+  return accepted == nullptr ? 0 : accepted->Version.Value;
+}
+
+/// The current rule set, read as an instance would read it.
+RuleSet readCurrent(FakeService &service) {
+  RuleRegistry registry(service);
+  PageStore pages;
+  RuleManifest manifest = registry.currentManifest().value().value();
+  expectTrue(registry.fetchPages(manifest, pages).has_value(),
+             "every page is there");
+  return assemble(manifest, pages).value();
+}
+
+} // namespace
+
+class RuleRegistryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RuleRegistryTest);
+  CPPUNIT_TEST(acceptsAndReadsBack);
+  CPPUNIT_TEST(givesARaceOneWinner);
+  CPPUNIT_TEST(findsOutWhenAnAnswerIsLost);
+  CPPUNIT_TEST(repeatsSafely);
+  CPPUNIT_TEST(neverHalfApplies);
+  CPPUNIT_TEST(refusesAnotherBaseVersion);
+  CPPUNIT_TEST(forgetsOldVersionsButNoSharedPage);
+  CPPUNIT_TEST(codesMembersAndInstances);
+  CPPUNIT_TEST_SUITE_END();
+
+  void acceptsAndReadsBack() {
+    FakeService service;
+    RuleRegistry registry(service);
+    expectEqual<uint64_t>(1, versionOf(registry.submit(submission("a"), {})));
+    expectEqual<uint64_t>(2, versionOf(registry.submit(submission("b"), {})));
+    expectTrue(readCurrent(service).Rules == submission("b").Rules,
+               "the rules that were submitted");
+  }
+
+  void givesARaceOneWinner() {
+    FakeService service;
+    RuleRegistry registry(service);
+    registry.submit(submission("base"), {});
+    service.BeforeSwap = [&] {
+      expectEqual<uint64_t>(
+          2, versionOf(RuleRegistry(service).submit(submission("fast"), {})));
+    };
+    SubmitOutcome slow = registry.submit(submission("slow"), {});
+    const auto *conflict = std::get_if<Conflict>(&slow);
+    expectTrue(conflict != nullptr, "the slower writer gets a conflict");
+    expectEqual<uint64_t>(2, conflict->Current.Value);
+  }
+
+  // Symptom: automation submits twice and overwrites somebody's change.
+  // Sequence: the swap takes effect, its answer is lost.
+  // Cause: a lost answer looks like a failure.
+  void findsOutWhenAnAnswerIsLost() {
+    FakeService service;
+    RuleRegistry registry(service);
+    registry.submit(submission("a"), {});
+    service.failWrite(1, FakeService::Fault::AnswerLost);
+    expectEqual<uint64_t>(2, versionOf(registry.submit(submission("b"), {})));
+    section("it can't be told while reads fail too", [&] {
+      service.failWrite(1, FakeService::Fault::AnswerLost);
+      service.BeforeSwap = [&] { service.ReadsFail = true; };
+      SubmitOutcome outcome = registry.submit(submission("c"), {});
+      expectTrue(std::holds_alternative<OutcomeUnknown>(outcome),
+                 "the outcome is unknown");
+      service.ReadsFail = false;
+      expectEqual<uint64_t>(3, versionOf(registry.submit(submission("c"), {})));
+    });
+  }
+
+  void repeatsSafely() {
+    FakeService service;
+    RuleRegistry registry(service);
+    registry.submit(submission("a"), {});
+    registry.submit(submission("b"), {});
+    section("a repeat finds its first acceptance and reverts nothing", [&] {
+      expectEqual<uint64_t>(1, versionOf(registry.submit(submission("a"), {})));
+      expectTrue(readCurrent(service).SubmissionId == "b", "b is in force");
+    });
+  }
+
+  void neverHalfApplies() {
+    property("a failure at any write leaves the old set whole", [] {
+      FakeService service;
+      RuleRegistry registry(service);
+      registry.submit(submission("a", 50), {});
+      auto n = *rc::gen::inRange(1, 60);
+      bool lost = *rc::gen::arbitrary<bool>();
+      service.failWrite(n, lost ? FakeService::Fault::AnswerLost
+                                : FakeService::Fault::Refused);
+      SubmitOutcome outcome = registry.submit(submission("b", 3000), {});
+      RuleSet current = readCurrent(service);
+      bool accepted = versionOf(outcome) == 2;
+      RC_ASSERT(current.SubmissionId == (accepted ? "b" : "a"));
+      RC_ASSERT(current.Rules.size() == (accepted ? 3002U : 52U));
+    });
+  }
+
+  void refusesAnotherBaseVersion() {
+    FakeService service;
+    RuleRegistry registry(service);
+    registry.submit(submission("a"), {});
+    SubmitOutcome outcome = registry.submit(submission("b"), RuleVersion{7});
+    expectTrue(std::holds_alternative<Conflict>(outcome), "a conflict");
+    expectEqual<uint64_t>(
+        2, versionOf(registry.submit(submission("b"), RuleVersion{1})));
+  }
+
+  void forgetsOldVersionsButNoSharedPage() {
+    FakeService service;
+    RuleRegistry registry(service);
+    for (int i = 0; i < 40; ++i) {
+      registry.submit(submission("s" + std::to_string(i), 40), {});
+      readCurrent(service);
+    }
+    expectEqual<size_t>(VersionsKept, service.count(keys::History));
+    expectTrue(service.count(keys::Pages) < 200, "old pages are gone");
+  }
+
+  void codesMembersAndInstances() {
+    MembersDocument document{.Version = MembersVersion{3},
+                             .Members = {InstanceId{1}, InstanceId{2}},
+                             .Previous = {InstanceId{2}}};
+    expectTrue(decodeMembers(encodeMembers(document)).value() == document,
+               "an equal document");
+    InstanceInfo info{.Id = InstanceId{4},
+                      .Zone = "hall-a",
+                      .Packets = {.Ip = 1, .Port = 2},
+                      .Peers = {.Ip = 1, .Port = 3},
+                      .Admin = {.Ip = 1, .Port = 4}};
+    expectTrue(decodeInstance(encodeInstance(info)).value() == info,
+               "an equal instance");
+    property("any bytes, without a crash", [] {
+      auto bytes =
+          QByteArray::fromStdString(*rc::gen::arbitrary<std::string>());
+      (void)decodeMembers(bytes);
+      (void)decodeInstance(bytes);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RuleRegistryTest);
--- a/tests/Story.h
+++ b/tests/Story.h
@@ -46,9 +46,9 @@
   std::string path;
   for (const std::string &it : titles())
     path += "\n  " + it;
-  throw CppUnit::Exception(CppUnit::Message(what + path),
-                           CppUnit::SourceLine(where.file_name(),
-                                               static_cast<int>(where.line())));
+  throw CppUnit::Exception(
+      CppUnit::Message(what + path),
+      CppUnit::SourceLine(where.file_name(), static_cast<int>(where.line())));
 }
 
 template <typename T> std::string shown(const T &value) {
