--- a/include/chicorybank/base/Reasons.h
+++ b/include/chicorybank/base/Reasons.h
@@ -61,7 +61,7 @@
 
 /// How many reasons there are.
 inline constexpr size_t ReasonCount = 0
-#define CHICORY_REASON_COUNT(NAME, TEXT) +1
+#define CHICORY_REASON_COUNT(NAME, TEXT) +1 // NOLINT: a summand.
     CHICORY_REASONS(CHICORY_REASON_COUNT)
 #undef CHICORY_REASON_COUNT
     ;
--- a/include/chicorybank/base/Types.h
+++ b/include/chicorybank/base/Types.h
@@ -26,7 +26,7 @@
   using period = std::micro;
   using duration = std::chrono::duration<rep, period>;
   using time_point = std::chrono::time_point<CoreClock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true; // NOLINT: named by the standard.
 };
 
 /// A length of time in microseconds.
--- a/lib/core/RequestPath.cpp
+++ b/lib/core/RequestPath.cpp
@@ -592,7 +592,7 @@
 void RequestPath::setLife(Entry entry, RequestLife life) {
   if (std::holds_alternative<Queued>(entry->second.Life))
     --QueuedCount;
-  entry->second.Life = std::move(life);
+  entry->second.Life = life;
   if (std::holds_alternative<Queued>(entry->second.Life))
     ++QueuedCount;
 }
--- a/lib/daemon/Admin.cpp
+++ b/lib/daemon/Admin.cpp
@@ -199,7 +199,7 @@
   addRoutes();
   // Few threads: operators and one scraper are all that calls here.
   Server->new_task_queue = [] { return new httplib::ThreadPool(2); };
-  if (!Server->bind_to_port(formatIp(Listen.Ip).c_str(), Listen.Port))
+  if (!Server->bind_to_port(formatIp(Listen.Ip), Listen.Port))
     return tl::make_unexpected("bind " + formatAddress(Listen) + ": failed");
   Worker = std::thread([this] { Server->listen_after_bind(); });
   return {};
--- a/lib/daemon/Admin.h
+++ b/lib/daemon/Admin.h
@@ -12,7 +12,7 @@
 
 namespace httplib {
 class Server;
-}
+} // namespace httplib
 
 namespace chicory {
 
--- a/lib/peer/Messages.cpp
+++ b/lib/peer/Messages.cpp
@@ -82,7 +82,7 @@
 std::vector<InstanceId> readInstances(CborReader &outer) {
   std::vector<InstanceId> out;
   const QCborArray list = outer.list();
-  for (const QCborValue &it : list) {
+  for (const auto &it : list) {
     outer.require(it.isInteger());
     out.push_back(InstanceId{static_cast<uint32_t>(it.toInteger())});
   }
@@ -92,7 +92,7 @@
 std::vector<PageId> readPageIds(CborReader &outer) {
   std::vector<PageId> out;
   const QCborArray list = outer.list();
-  for (const QCborValue &it : list) {
+  for (const auto &it : list) {
     outer.require(it.isInteger());
     out.push_back(PageId{static_cast<uint64_t>(it.toInteger())});
   }
@@ -142,10 +142,10 @@
   out.Members.Value = static_cast<uint64_t>(reader.number());
   out.Hears = readInstances(reader);
   const QCborArray introductions = reader.list();
-  for (const QCborValue &it : introductions)
+  for (const auto &it : introductions)
     out.Introductions.push_back(readInfo(reader, it));
   const QCborArray draining = reader.list();
-  for (const QCborValue &it : draining) {
+  for (const auto &it : draining) {
     reader.require(it.isInteger());
     out.Draining.push_back(
         Address::unpack(static_cast<uint64_t>(it.toInteger())));
@@ -181,7 +181,7 @@
   if (manifest)
     out.Manifest = *manifest;
   const QCborArray pages = reader.list();
-  for (const QCborValue &it : pages) {
+  for (const auto &it : pages) {
     reader.require(it.isByteArray());
     out.Pages[pageIdOf(it.toByteArray())] = it.toByteArray();
   }
--- a/lib/platform/KeyValue.cpp
+++ b/lib/platform/KeyValue.cpp
@@ -147,7 +147,7 @@
   return call("/v3/kv/range", body).map([](const QJsonObject &answer) {
     std::vector<KeyValue> out;
     const QJsonArray list = answer["kvs"].toArray();
-    for (const QJsonValue &it : list)
+    for (const auto &it : list)
       out.push_back(readKeyValue(it.toObject()));
     return out;
   });
@@ -201,7 +201,7 @@
       QJsonObject line = QJsonDocument::fromJson(pending.left(end)).object();
       pending.remove(0, end + 1);
       const QJsonArray events = line["result"].toObject()["events"].toArray();
-      for (const QJsonValue &it : events)
+      for (const auto &it : events)
         if (!changed(readKeyValue(it.toObject()["kv"].toObject())))
           return false;
     }
--- a/lib/platform/RuleRegistry.cpp
+++ b/lib/platform/RuleRegistry.cpp
@@ -41,7 +41,7 @@
 std::vector<InstanceId> readIds(CborReader &outer) {
   std::vector<InstanceId> out;
   const QCborArray list = outer.list();
-  for (const QCborValue &it : list) {
+  for (const auto &it : list) {
     outer.require(it.isInteger());
     out.push_back(InstanceId{static_cast<uint32_t>(it.toInteger())});
   }
--- a/lib/rules/RulePages.cpp
+++ b/lib/rules/RulePages.cpp
@@ -43,7 +43,7 @@
 
 std::optional<std::vector<Prefix>> decodePrefixes(const QCborArray &list) {
   std::vector<Prefix> out;
-  for (const QCborValue &it : list) {
+  for (const auto &it : list) {
     CborReader reader(it);
     Prefix prefix{.Ip = static_cast<uint32_t>(reader.number(UINT32_MAX)),
                   .Length = static_cast<uint8_t>(reader.number(32))};
@@ -67,7 +67,7 @@
     return std::nullopt;
   out.Sources = *sources;
   out.Destinations = *destinations;
-  for (const QCborValue &it : ports) {
+  for (const auto &it : ports) {
     CborReader pair(it);
     PortRange range{.First = static_cast<uint16_t>(pair.number(UINT16_MAX)),
                     .Last = static_cast<uint16_t>(pair.number(UINT16_MAX))};
@@ -98,7 +98,7 @@
   QCborArray targets = reader.list();
   if (!reader.done())
     return std::nullopt;
-  for (const QCborValue &it : targets) {
+  for (const auto &it : targets) {
     std::optional<Target> target = decodeTarget(it);
     if (!target)
       return std::nullopt;
@@ -144,7 +144,7 @@
     if (!value.isArray())
       return false;
     const QCborArray list = value.toArray();
-    for (const QCborValue &it : list) {
+    for (const auto &it : list) {
       std::optional<Item> item = decode(it);
       if (!item)
         return false;
@@ -163,7 +163,7 @@
 
 std::optional<std::vector<PageId>> decodeIds(const QCborArray &list) {
   std::vector<PageId> out;
-  for (const QCborValue &it : list) {
+  for (const auto &it : list) {
     if (!it.isInteger())
       return std::nullopt;
     out.push_back(PageId{static_cast<uint64_t>(it.toInteger())});
--- a/programs/chicoryctl/Commands.cpp
+++ b/programs/chicoryctl/Commands.cpp
@@ -95,7 +95,7 @@
     if (!status)
       continue;
     const QJsonArray peers = (*status)["peers"].toArray();
-    for (const QJsonValue &it : peers) {
+    for (const auto &it : peers) {
       QJsonObject peer = it.toObject();
       auto admin =
           chicory::parseAddress(peer["admin"].toString().toStdString());
--- a/programs/chicoryctl/Commands.h
+++ b/programs/chicoryctl/Commands.h
@@ -13,7 +13,7 @@
 
 namespace CLI {
 class App;
-}
+} // namespace CLI
 
 namespace chicoryctl {
 
--- a/programs/chicoryctl/LiveCommands.cpp
+++ b/programs/chicoryctl/LiveCommands.cpp
@@ -73,7 +73,7 @@
     };
     auto names = [](const QJsonArray &list) {
       std::string out;
-      for (const QJsonValue &it : list)
+      for (const auto &it : list)
         out += " " + it.toString().toStdString();
       return out;
     };
@@ -126,7 +126,7 @@
       continue;
     }
     const QJsonArray items = tagged[listName].toArray();
-    for (const QJsonValue &item : items)
+    for (const auto &item : items)
       text += "from=" + at + " " + line(item.toObject());
   }
   if (!answered)
--- a/standins/platform/Main.cpp
+++ b/standins/platform/Main.cpp
@@ -88,7 +88,7 @@
   using Handler = std::function<QJsonObject(const QJsonObject &)>;
 
   bool unreachable(const httplib::Request &request);
-  void route(const char *path, bool writes, Handler handler);
+  void route(const char *path, bool writes, const Handler &handler);
   void addKeyValueRoutes();
   void addWatchRoute();
   void addControlRoutes();
@@ -113,7 +113,8 @@
   return Broken.Down || cut;
 }
 
-void PlatformServer::route(const char *path, bool writes, Handler handler) {
+void PlatformServer::route(const char *path, bool writes,
+                           const Handler &handler) {
   Server.Post(path, [this, writes, handler](const httplib::Request &request,
                                             httplib::Response &response) {
     ++Calls;
@@ -175,7 +176,7 @@
     QJsonObject compare = body["compare"].toArray().at(0).toObject();
     std::vector<std::pair<std::string, std::string>> writes;
     const QJsonArray success = body["success"].toArray();
-    for (const QJsonValue &it : success) {
+    for (const auto &it : success) {
       QJsonObject put = it.toObject()["request_put"].toObject();
       writes.emplace_back(decoded(put["key"]), decoded(put["value"]));
     }
@@ -286,8 +287,8 @@
   addControlRoutes();
   int bound = port;
   if (port == 0)
-    bound = Server.bind_to_any_port(ip.c_str());
-  else if (!Server.bind_to_port(ip.c_str(), port))
+    bound = Server.bind_to_any_port(ip);
+  else if (!Server.bind_to_port(ip, port))
     bound = -1;
   if (bound < 0)
     return 1;
--- a/tests/RequestPathTest.cpp
+++ b/tests/RequestPathTest.cpp
@@ -233,8 +233,7 @@
       if (!told.Whole)
         for (Reason it : told.Reasons)
           fail("request " + std::to_string(id) +
-                   " was refused: " + std::string(chicory::reasonName(it)),
-               std::source_location::current());
+               " was refused: " + std::string(chicory::reasonName(it)));
     expectEqual<size_t>(60, countAnswered(world));
     expectPromisesKept(world);
   }
--- a/tests/RulePagesTest.cpp
+++ b/tests/RulePagesTest.cpp
@@ -85,7 +85,8 @@
       QByteArray page = pages[manifest.RulePages[0]];
       page.truncate(*rc::gen::inRange<int>(0, static_cast<int>(page.size())));
       chicory::PageId id = chicory::pageIdOf(page);
-      RC_ASSERT(!chicory::assemble({.RulePages = {id}}, {{id, page}}).has_value());
+      RC_ASSERT(
+          !chicory::assemble({.RulePages = {id}}, {{id, page}}).has_value());
     });
   }
 };
--- a/tests/Story.h
+++ b/tests/Story.h
@@ -18,13 +18,18 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include <source_location>
 #include <sstream>
 #include <string>
 #include <vector>
 
 namespace story {
 
+/// Where an expectation stands. (clang 14 has no std::source_location.)
+struct Where {
+  const char *File = __builtin_FILE();
+  int Line = __builtin_LINE();
+};
+
 /// The titles of the sections that are running, outermost first.
 inline std::vector<std::string> &titles() {
   static std::vector<std::string> out;
@@ -42,13 +47,12 @@
 
 /// Fails the test with the sections that led here.
 [[noreturn]] inline void fail(const std::string &what,
-                              std::source_location where) {
+                              const Where &where = {}) {
   std::string path;
   for (const std::string &it : titles())
     path += "\n  " + it;
-  throw CppUnit::Exception(
-      CppUnit::Message(what + path),
-      CppUnit::SourceLine(where.file_name(), static_cast<int>(where.line())));
+  throw CppUnit::Exception(CppUnit::Message(what + path),
+                           CppUnit::SourceLine(where.File, where.Line));
 }
 
 template <typename T> std::string shown(const T &value) {
@@ -62,14 +66,13 @@
 
 template <typename T>
 void expectEqual(const std::type_identity_t<T> &expected, const T &actual,
-                 std::source_location where = std::source_location::current()) {
+                 const Where &where = {}) {
   if (!(expected == actual))
     fail("expected " + shown(expected) + ", got " + shown(actual), where);
 }
 
-inline void
-expectTrue(bool condition, const std::string &what,
-           std::source_location where = std::source_location::current()) {
+inline void expectTrue(bool condition, const std::string &what,
+                       const Where &where = {}) {
   if (!condition)
     fail("expected: " + what, where);
 }
@@ -78,7 +81,7 @@
 /// RC_PARAMS="max_success=10000 seed=N" asks for more.
 template <typename Testable>
 void property(const std::string &what, Testable testable,
-              std::source_location where = std::source_location::current()) {
+              const Where &where = {}) {
   if (!rc::check(what, testable))
     fail("property: " + what, where);
 }
