--- a/include/chicorybank/core/Core.h
+++ b/include/chicorybank/core/Core.h
@@ -63,6 +63,14 @@
   Duration AskTimeout = std::chrono::milliseconds(100);
 };
 
+/// How flows keep their targets. All but the first are baselines that the
+/// project measures itself against; never use them for real traffic.
+enum class Placement : uint8_t {
+  Pinned,  ///< Pins at homes, found again through peers and targets.
+  NoPins,  ///< Each packet goes where the current targets' hash says.
+  NoPeers, ///< Each instance pins for itself and asks nobody.
+};
+
 /// All options of a core.
 struct CoreOptions {
   InstanceInfo Self;
@@ -76,6 +84,7 @@
   TargetOptions Targets;
   FlowOptions Flows;
   RequestOptions Requests;
+  Placement FlowPlacement = Placement::Pinned;
   Duration ProbeInterval = std::chrono::milliseconds(500);
   /// How long an instance that joins waits for peers and the platform before
   /// it creates the first members document.
--- a/lib/core/ControlPath.cpp
+++ b/lib/core/ControlPath.cpp
@@ -11,9 +11,10 @@
 // Instances propose one after another, so that mostly one does.
 constexpr Duration ProposalStagger = std::chrono::milliseconds(400);
 constexpr size_t ProbersPerTarget = 2;
-constexpr size_t MaxIntroductions = 8;
+constexpr size_t MaxIntroductions = 2;
+constexpr Duration IntroduceAfter = std::chrono::seconds(1);
 // News goes out at once, but bursts of news share a heartbeat.
-constexpr Duration HeartbeatGap = std::chrono::milliseconds(100);
+constexpr Duration HeartbeatGap = std::chrono::milliseconds(200);
 
 bool contains(const std::vector<InstanceId> &ids, InstanceId id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -149,7 +150,9 @@
   std::vector<InstanceInfo> out;
   for (const auto &[id, peer] : Shared.Members.peers()) {
     bool known = id == receiver.Info.Id || contains(receiver.Hears, id);
-    if (!known && Shared.Members.hears(id, now) &&
+    // Mostly the two find each other without help; that is cheaper.
+    bool settled = now - peer.KnownSince > IntroduceAfter;
+    if (!known && settled && Shared.Members.hears(id, now) &&
         out.size() < MaxIntroductions)
       out.push_back(peer.Info);
   }
--- a/lib/core/Core.cpp
+++ b/lib/core/Core.cpp
@@ -83,6 +83,8 @@
     if (owner == State.self() || State.Members.hears(owner, Now))
       return owner;
   }
+  if (State.Options.FlowPlacement != Placement::Pinned)
+    return State.self();
   return State.homeOf(hash);
 }
 
--- a/lib/core/FlowPath.cpp
+++ b/lib/core/FlowPath.cpp
@@ -31,6 +31,8 @@
 void FlowPath::fromCaller(const PacketInFlight &packet, Time now,
                           Actions &actions) {
   const FlowKey &flow = packet.Content.Flow;
+  if (Shared.Options.FlowPlacement == Placement::NoPins)
+    unpin(flow);
   if (FlowPin *found = Flows.find(flow)) {
     if (found->Tentative)
       parkTentative(packet);
@@ -40,7 +42,9 @@
       unpin(flow);
     return;
   }
-  if (packet.Content.Kind == PacketKind::Open)
+  bool placeAnew = packet.Content.Kind == PacketKind::Open ||
+                   Shared.Options.FlowPlacement != Placement::Pinned;
+  if (placeAnew)
     open(packet, now, actions);
   else
     recover(packet, now, actions);
@@ -117,6 +121,8 @@
   const FlowKey &flow = packet.Content.Flow;
   PacketKind kind = packet.Content.Kind;
   Shared.Book.heard(packet.From, now);
+  if (Shared.Options.FlowPlacement != Placement::Pinned)
+    return Shared.sendToCaller(packet, actions);
   if (kind == PacketKind::Reset && rejected(packet, now, actions))
     return;
   FlowPin *found = Flows.find(flow);
--- a/lib/daemon/Daemon.cpp
+++ b/lib/daemon/Daemon.cpp
@@ -220,8 +220,9 @@
     int batches = 0;
     bool got = Rings.Packets.wait_dequeue_timed(batch, TickInterval.count());
     while (got) {
+      Time now = bootTimeNow();
       for (const Event &it : batch)
-        Decisions.handle(it, bootTimeNow(), Pending);
+        Decisions.handle(it, now, Pending);
       carryOut();
       got = ++batches < BatchesPerTurn && Rings.Packets.try_dequeue(batch);
     }
--- a/programs/chicoryd/Main.cpp
+++ b/programs/chicoryd/Main.cpp
@@ -11,6 +11,7 @@
 #include <easylogging++.h>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <sstream>
 
 INITIALIZE_EASYLOGGINGPP
@@ -47,10 +48,11 @@
   return 0;
 }
 
-int run(const std::string &path) {
+int run(const std::string &path, chicory::Placement placement) {
   auto settings = loadSettings(path);
   if (!settings)
     return ExitFindings;
+  settings->Core.FlowPlacement = placement;
   std::signal(SIGTERM, onStopSignal);
   std::signal(SIGINT, onStopSignal);
   std::signal(SIGPIPE, SIG_IGN);
@@ -73,6 +75,14 @@
   CLI::App *runCommand = app.add_subcommand(
       "run", "Run until SIGTERM, which begins a planned stop");
   runCommand->add_option("settings", path, "The settings file")->required();
+  chicory::Placement placement = chicory::Placement::Pinned;
+  std::map<std::string, chicory::Placement> placements = {
+      {"no-pins", chicory::Placement::NoPins},
+      {"no-peers", chicory::Placement::NoPeers}};
+  runCommand
+      ->add_option("--baseline", placement,
+                   "For measurements only: a simpler placement of flows")
+      ->transform(CLI::CheckedTransformer(placements));
   CLI::App *checkCommand =
       app.add_subcommand("check", "Report every finding in a settings file\n"
                                   "Example: chicoryd check chicoryd.toml");
@@ -82,5 +92,5 @@
   } catch (const CLI::ParseError &error) {
     return app.exit(error) == 0 ? 0 : ExitFindings;
   }
-  return checkCommand->parsed() ? check(path) : run(path);
+  return checkCommand->parsed() ? check(path) : run(path, placement);
 }
--- a/standins/fabric/Callers.cpp
+++ b/standins/fabric/Callers.cpp
@@ -78,8 +78,16 @@
   send(packet);
 }
 
+size_t Callers::pickService() {
+  std::vector<double> weights;
+  for (const CalledService &it : Options.Services)
+    weights.push_back(it.Weight);
+  return std::discrete_distribution<size_t>(weights.begin(),
+                                            weights.end())(Random);
+}
+
 void Callers::newRequest(int64_t nowMs) {
-  size_t which = Random() % Options.Services.size();
+  size_t which = pickService();
   const CalledService &service = Options.Services[which];
   std::uniform_real_distribution<double> uniform(0, 1);
   // Half of the requests to the feeds' service ride on an open feed.
--- a/standins/fabric/Callers.h
+++ b/standins/fabric/Callers.h
@@ -19,6 +19,8 @@
 struct CalledService {
   std::string Name;
   chicory::Address At;
+  /// Its share of the requests, against the others'.
+  double Weight = 1;
 };
 
 /// What callers do.
@@ -100,6 +102,7 @@
   void tickRequests(int64_t nowMs);
   void tickCanaries(int64_t nowMs);
   void newRequest(int64_t nowMs);
+  size_t pickService();
   void onFeedPacket(Feed &feed, const chicory::Packet &packet, int64_t nowMs);
   void onOutcome(const chicory::Packet &packet, int64_t nowMs);
   void send(const chicory::Packet &packet);
--- a/standins/fabric/Main.cpp
+++ b/standins/fabric/Main.cpp
@@ -1,6 +1,6 @@
 // standin-fabric: stands in for the fabric and for the callers.
 //
-//   standin-fabric --ip 127.0.0.1 --service records=10.1.0.1:443
+//   standin-fabric --ip 127.0.0.1 --service records=10.1.0.1:443@15
 //
 // Datagrams from instances are for callers; all others (from backend servers,
 // and the callers' own) are sprayed over the instances. It prints
@@ -185,7 +185,8 @@
   standin::CallerOptions options;
   uint64_t seed = 1;
   app.add_option("--ip", ip, "Where to listen");
-  app.add_option("--service", services, "NAME=IP:PORT; the first has feeds")
+  app.add_option("--service", services,
+                 "NAME=IP:PORT@WEIGHT; the first has feeds")
       ->required();
   app.add_option("--feeds", options.Feeds, "Flows that stay open");
   app.add_option("--requests", options.RequestsPerSecond, "In a second");
@@ -195,11 +196,15 @@
   CLI11_PARSE(app, argc, argv);
   for (const std::string &it : services) {
     size_t equals = it.find('=');
-    auto at = chicory::parseAddress(
-        equals == std::string::npos ? "" : it.substr(equals + 1));
+    size_t weight = it.find('@');
+    if (equals == std::string::npos || weight == std::string::npos)
+      return 2;
+    auto at = chicory::parseAddress(it.substr(equals + 1, weight - equals - 1));
     if (!at)
       return 2;
-    options.Services.push_back({.Name = it.substr(0, equals), .At = *at});
+    options.Services.push_back({.Name = it.substr(0, equals),
+                                .At = *at,
+                                .Weight = std::atof(it.c_str() + weight + 1)});
   }
   auto socket =
       chicory::bindUdp({.Ip = chicory::parseIp(ip).value_or(0), .Port = 0});
--- a/tools/demolib/deployment.py
+++ b/tools/demolib/deployment.py
@@ -116,7 +116,7 @@
         lines = self.read_lines(
             self.start_process(
                 "standin-fabric", "standin-fabric",
-                "--service", f"{feeds}={FEEDS_VIP}", "--service", f"{documents}={DOCUMENTS_VIP}",
+                "--service", f"{feeds}={FEEDS_VIP}@{FEED_TARGETS}", "--service", f"{documents}={DOCUMENTS_VIP}@{DOCUMENT_TARGETS}",
                 "--feeds", str(arguments.flows), "--requests", str(arguments.requests),
                 "--idempotent", str(arguments.idempotent), "--seed", str(arguments.seed),
             )
