Recovery: silence is no proof that a target has a flow

A new home tried targets one after another; the first was beyond the cut and silent, and was pinned for good. Packets of the true target were then foreign, and after the cut the wrong one reset the flow. Ruled out: callers' time-outs (all were resets), targets that end flows. Change: a target that says nothing is passed over and stays a guess at most; only a packet from a target makes a pin. A reset of a guess is never shown to the caller.

--- a/include/chicorybank/core/Core.h
+++ b/include/chicorybank/core/Core.h
@@ -34,7 +34,7 @@
   /// How long peers may take to say what they know of a flow.
   Duration AskTimeout = std::chrono::milliseconds(60);
   /// How long a target may take to reject a flow that it does not have.
-  Duration TryTimeout = std::chrono::milliseconds(500);
+  Duration TryTimeout = std::chrono::milliseconds(200);
   /// Flows being recovered at the same time.
   size_t MaxRecoveries = 4096;
   /// Packets kept for one flow while it is recovered.
--- a/lib/core/FlowPath.cpp
+++ b/lib/core/FlowPath.cpp
@@ -153,20 +153,34 @@
   const FlowKey &flow = packet.Content.Flow;
   FlowPin *found = Flows.find(flow);
   auto it = Recoveries.find(flow);
-  bool trying = found != nullptr && found->Tentative && it != Recoveries.end();
-  if (!trying)
-    // A reset from a target that does not hold the flow is a late rejection.
-    return found == nullptr || found->PinnedTarget != packet.From;
-  if (found->PinnedTarget != packet.From)
+  // A reset from a target that does not hold the flow is a late rejection.
+  if (found == nullptr || found->PinnedTarget != packet.From)
     return true;
+  if (!found->Tentative)
+    return false;
+  // The guess was wrong. Without a recovery under way the caller's next packet
+  // starts one.
   unpin(flow);
-  if (!tryNext(flow, it->second, now, actions)) {
-    Recoveries.erase(it);
-    refuseFlow(flow, Reason::UnknownFlow, actions);
-  }
+  if (it != Recoveries.end() && !tryNext(flow, it->second, now, actions))
+    exhausted(flow, now, actions);
   return true;
 }
 
+void FlowPath::exhausted(const FlowKey &flow, Time now, Actions &actions) {
+  auto it = Recoveries.find(flow);
+  std::vector<TargetId> silent = std::move(it->second.Silent);
+  Recoveries.erase(it);
+  if (silent.empty())
+    return refuseFlow(flow, Reason::UnknownFlow, actions);
+  // A target that did not answer may have the flow, beyond a cut. Resetting
+  // the flow would break it; a guess stands until some target shows itself.
+  Shared.refuse(Reason::RecoveryFailed);
+  TargetId guess = silent.front();
+  if (FlowPin *fresh =
+          pin(flow, guess, Shared.History.serviceOfTarget(guess), now))
+    fresh->Tentative = true;
+}
+
 void FlowPath::recover(const PacketInFlight &packet, Time now,
                        Actions &actions) {
   const FlowKey &flow = packet.Content.Flow;
@@ -240,10 +254,8 @@
   recovery.Candidates =
       rendezvousOrder(hashFlow(flow), std::span(std::as_const(targets)),
                       Shared.Options.Flows.MaxTries);
-  if (!tryNext(flow, recovery, now, actions)) {
-    Recoveries.erase(flow);
-    refuseFlow(flow, Reason::RecoveryFailed, actions);
-  }
+  if (!tryNext(flow, recovery, now, actions))
+    exhausted(flow, now, actions);
 }
 
 bool FlowPath::tryNext(const FlowKey &flow, Recovery &recovery, Time now,
@@ -324,10 +336,14 @@
       startTrying(FlowKey(current->first), current->second, now, actions);
       continue;
     }
-    // The last target that was tried did not reject the flow: it has it.
-    if (FlowPin *found = Flows.find(current->first))
-      found->Tentative = false;
-    Recoveries.erase(current);
+    // The target said nothing. It may have the flow, or be out of reach.
+    FlowKey flow = current->first;
+    if (FlowPin *found = Flows.find(flow)) {
+      current->second.Silent.push_back(found->PinnedTarget);
+      unpin(flow);
+    }
+    if (!tryNext(flow, current->second, now, actions))
+      exhausted(flow, now, actions);
   }
 }
 
--- a/lib/core/FlowPath.h
+++ b/lib/core/FlowPath.h
@@ -46,6 +46,8 @@
     /// Targets in the order in which they are tried.
     std::vector<TargetId> Candidates;
     size_t NextCandidate = 0;
+    /// Targets that neither rejected the flow nor showed that they have it.
+    std::vector<TargetId> Silent;
     std::vector<PacketInFlight> Parked;
   };
 
@@ -66,6 +68,7 @@
                Actions &actions);
   void recovered(const FlowKey &flow, TargetId target, ServiceId service,
                  Time now, Actions &actions);
+  void exhausted(const FlowKey &flow, Time now, Actions &actions);
   bool rejected(const PacketInFlight &packet, Time now, Actions &actions);
   bool expired(const FlowPin &pin, Time now, Actions &actions);
 
--- a/tests/CoreTest.cpp
+++ b/tests/CoreTest.cpp
@@ -3,6 +3,8 @@
 #include "FakeDeployment.h"
 #include "Story.h"
 
+#include "chicorybank/core/Rendezvous.h"
+
 #include <algorithm>
 
 using namespace story;
@@ -24,6 +26,25 @@
   world.run(100ms);
 }
 
+/// The target that a recovery of a flow tries first.
+chicory::TargetId firstTarget(uint32_t n) {
+  std::vector<chicory::TargetId> targets;
+  for (uint32_t i = 0; i < 15; ++i)
+    targets.push_back(samples::target(i));
+  return chicory::rendezvousOrder(chicory::hashFlow(flow(n)),
+                                  std::span<const chicory::TargetId>(targets),
+                                  1)
+      .front();
+}
+
+/// A flow whose target is not the one that a recovery tries first.
+uint32_t spilledFlow(FakeDeployment &world) {
+  for (uint32_t n = 0; n < 400; ++n)
+    if (firstTarget(n) != world.Reached[flow(n)].front())
+      return n;
+  throw std::runtime_error("every flow went to its first target");
+}
+
 /// Every flow carries data in both directions, by its first target.
 void expectAllAlive(FakeDeployment &world, uint32_t count = Flows) {
   world.run(200ms);
@@ -52,6 +73,7 @@
   CPPUNIT_TEST(decidesByNewerRulesOnceTheyWereSeen);
   CPPUNIT_TEST(spreadsRulesWithoutThePlatform);
   CPPUNIT_TEST(servesOnBothSidesOfACut);
+  CPPUNIT_TEST(doesNotTakeSilenceForProof);
   CPPUNIT_TEST(joinsWhileThePlatformIsDown);
   CPPUNIT_TEST(tellsBothEndsOfASilentFlow);
   CPPUNIT_TEST(refusesNewFlowsOfAFullTable);
@@ -242,6 +264,42 @@
     section("after the cut", [&] { expectAllAlive(world); });
   }
 
+  // Symptom: a few feeds are reset when a cut is healed.
+  // Sequence: a flow's new home asks one target after another; the first is
+  // beyond the cut and says nothing; after the cut it rejects the flow.
+  // Cause: silence was taken for proof that the target has the flow.
+  void doesNotTakeSilenceForProof() {
+    FakeDeployment world(2, 13);
+    world.settle();
+    openAll(world, 400);
+    uint32_t n = spilledFlow(world);
+    chicory::TargetId at = world.Reached[flow(n)].front();
+    InstanceId home =
+        world.core(InstanceId{1}).explain(flow(n), world.now()).Home;
+    world.Unreachable[InstanceId{3 - home.Value}] = {firstTarget(n)};
+    world.kill(home);
+    section("the caller's packet finds its target behind the silent one", [&] {
+      uint64_t before = world.DataToCaller[flow(n)];
+      world.data(flow(n));
+      world.run(6s);
+      expectEqual<uint64_t>(before + 1, world.DataToCaller[flow(n)]);
+    });
+    section("what the target sends reaches the caller", [&] {
+      uint64_t before = world.DataToCaller[flow(n)];
+      world.feed(at, flow(n));
+      world.run(1s);
+      expectEqual<uint64_t>(before + 1, world.DataToCaller[flow(n)]);
+    });
+    section("after the cut nothing is reset", [&] {
+      world.Unreachable.clear();
+      uint64_t before = world.DataToCaller[flow(n)];
+      world.data(flow(n));
+      world.run(1s);
+      expectEqual<uint64_t>(before + 1, world.DataToCaller[flow(n)]);
+      expectEqual<uint64_t>(0, world.ResetsToCaller[flow(n)]);
+    });
+  }
+
   void joinsWhileThePlatformIsDown() {
     FakeDeployment world(6, 11);
     world.settle();
--- a/tests/FakeDeployment.cpp
+++ b/tests/FakeDeployment.cpp
@@ -268,9 +268,10 @@
 }
 
 void FakeDeployment::toTarget(TargetId id, const Packet &packet,
-                              InstanceId /*from*/) {
+                              InstanceId from) {
   auto found = Targets.find(id);
-  if (found == Targets.end() || found->second.Dead)
+  bool cutOff = Unreachable[from].contains(id);
+  if (found == Targets.end() || found->second.Dead || cutOff)
     return;
   FakeTarget &target = found->second;
   std::vector<TargetId> &reached = Reached[packet.Flow];
--- a/tests/FakeDeployment.h
+++ b/tests/FakeDeployment.h
@@ -91,6 +91,13 @@
   std::map<FlowKey, std::vector<TargetId>> Reached;
   std::map<InstanceId, uint64_t> HeartbeatsSent;
 
+  // --- cuts between instances and targets
+  std::map<InstanceId, std::set<TargetId>> Unreachable;
+  /// A target sends a packet of a flow that it holds.
+  void feed(TargetId from, const FlowKey &flow) {
+    fromTarget(from, {.Kind = PacketKind::Data, .Flow = flow});
+  }
+
   // --- chances
   Duration DelayMost = std::chrono::milliseconds(3);
   double Duplicate = 0;
