--- a/bench/CoreBench.cpp
+++ b/bench/CoreBench.cpp
@@ -21,6 +21,7 @@
 #include <chrono>
 #include <cstdio>
 #include <functional>
+#include <malloc.h>
 #include <random>
 
 namespace {
@@ -191,6 +192,23 @@
   }
 }
 
+/// Heap bytes that a compiled rule set takes.
+double compiledBytes(uint32_t rules, uint32_t targets) {
+  size_t before = ::mallinfo2().uordblks;
+  auto compiled =
+      std::make_unique<const CompiledRules>(ruleSet(rules, targets));
+  size_t after = ::mallinfo2().uordblks;
+  return static_cast<double>(after - before);
+}
+
+void measureRuleMemory() {
+  double base = compiledBytes(1000, 100);
+  report("bytes_per_rule", (compiledBytes(11'000, 100) - base) / 10'000,
+         "bytes");
+  report("bytes_per_target", (compiledBytes(1000, 10'100) - base) / 10'000,
+         "bytes");
+}
+
 void measureRuleChange() {
   for (uint32_t count : {100U, 1000U, 10'000U}) {
     RuleSet rules = ruleSet(count, 15);
@@ -328,6 +346,7 @@
   measureCodec();
   measureDecisions();
   measureMatching();
+  measureRuleMemory();
   measureRuleChange();
   measureControl();
   measureTick();
--- /dev/null
+++ b/bench/ImbalanceBench.cpp
@@ -0,0 +1,304 @@
+// Imbalance and waiting of request placement, against simple baselines.
+//
+//   build/bench-imbalance [--load 0.8] [--seconds 60]
+//
+// Simulated time: seven instances share fifteen targets with two slots each;
+// requests come at random, take 20 to 60 ms, and are shed by a full target and
+// then tried at another one. Each placement gets the same arrivals.
+
+#include "chicorybank/core/Targets.h"
+
+#include "chicorybank/base/Hash.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace {
+
+using namespace chicory;
+
+constexpr uint32_t Instances = 7;
+constexpr uint32_t TargetCount = 15;
+constexpr uint32_t Slots = 2;
+constexpr double MeanWorkMs = 40;
+constexpr int MostTries = 4;
+constexpr Duration RetryAfter = std::chrono::milliseconds(15);
+constexpr Duration GiveUpAfter = std::chrono::seconds(2);
+
+Service makeService() {
+  Service out{.Name = "records", .Id = serviceIdOf("records"), .Slots = Slots};
+  for (uint32_t i = 0; i < TargetCount; ++i)
+    out.Targets.push_back(
+        {.Id = {.Ip = 0x0a000001 + i, .Port = 80}, .Zone = "a"});
+  return out;
+}
+
+struct Job {
+  Time Arrived;
+  uint32_t Instance = 0;
+  int Tries = 0;
+  std::vector<TargetId> Tried;
+};
+
+/// Chooses a target for a job, or none: then the job waits for a completion.
+class Placement {
+public:
+  virtual ~Placement() = default;
+  virtual std::optional<TargetId> choose(const Job &job, Time now) = 0;
+  virtual void sent(const Job & /*job*/, TargetId /*target*/) {}
+  virtual void ended(const Job & /*job*/, TargetId /*target*/,
+                     RequestEnd /*how*/, Time /*sentAt*/, Time /*now*/) {}
+};
+
+/// What the product does.
+class Ours : public Placement {
+public:
+  explicit Ours(const Service &service) : Records(service) {
+    RuleSet rules;
+    rules.Version = RuleVersion{1};
+    rules.Services = {service};
+    CompiledRules compiled(rules);
+    std::vector<InstanceId> live;
+    for (uint32_t i = 1; i <= Instances; ++i)
+      live.push_back(InstanceId{i});
+    for (InstanceId it : live) {
+      Books.push_back(std::make_unique<Targets>(it, it.Value, TargetOptions()));
+      Books.back()->learn(compiled, Time{});
+      Books.back()->dealSlots(compiled, live);
+    }
+  }
+  std::optional<TargetId> choose(const Job &job, Time now) override {
+    return Books[job.Instance]->chooseForRequest(Records, job.Tried, now);
+  }
+  void sent(const Job &job, TargetId target) override {
+    Books[job.Instance]->requestSent(target);
+  }
+  void ended(const Job &job, TargetId target, RequestEnd how, Time sentAt,
+             Time now) override {
+    Books[job.Instance]->requestEnded(target, how, sentAt, now);
+  }
+
+private:
+  Service Records;
+  std::vector<std::unique_ptr<Targets>> Books;
+};
+
+class RoundRobin : public Placement {
+public:
+  std::optional<TargetId> choose(const Job &job, Time /*now*/) override {
+    uint32_t n = Next[job.Instance]++ % TargetCount;
+    return TargetId{.Ip = 0x0a000001 + n, .Port = 80};
+  }
+
+private:
+  std::array<uint32_t, Instances> Next{};
+};
+
+class RandomChoice : public Placement {
+public:
+  std::optional<TargetId> choose(const Job & /*job*/, Time /*now*/) override {
+    return TargetId{.Ip = 0x0a000001 +
+                          static_cast<uint32_t>(Random() % TargetCount),
+                    .Port = 80};
+  }
+
+private:
+  std::mt19937 Random{3};
+};
+
+/// The least loaded by reports of a given age; ties go to the first.
+class LeastReported : public Placement {
+public:
+  LeastReported(Duration age, const std::map<TargetId, uint32_t> &running)
+      : Age(age), Running(running) {}
+  std::optional<TargetId> choose(const Job & /*job*/, Time now) override {
+    if (now - ReportedAt >= Age || Reported.empty()) {
+      Reported = Running;
+      ReportedAt = now;
+    }
+    auto least = std::min_element(
+        Reported.begin(), Reported.end(),
+        [](const auto &a, const auto &b) { return a.second < b.second; });
+    return least->first;
+  }
+
+private:
+  Duration Age;
+  const std::map<TargetId, uint32_t> &Running;
+  std::map<TargetId, uint32_t> Reported;
+  Time ReportedAt{};
+};
+
+struct Result {
+  double Imbalance = 0;
+  double WaitP99Ms = 0;
+  uint64_t Done = 0;
+  uint64_t Lost = 0;
+  uint64_t Sheds = 0;
+};
+
+class Simulation {
+public:
+  Simulation(double load, Duration length, uint64_t seed)
+      : Length(length), Random(seed),
+        Gap(load * TargetCount * Slots / (MeanWorkMs * 1000)) {
+    for (const Target &it : Records.Targets) {
+      Running[it.Id] = 0;
+      Worked[it.Id] = 0;
+    }
+  }
+
+  const Service &service() const { return Records; }
+  const std::map<TargetId, uint32_t> &running() const { return Running; }
+
+  Result run(Placement &placement) {
+    Policy = &placement;
+    arrive(Time{});
+    while (!Queue.empty()) {
+      auto it = Queue.begin();
+      Now = it->first;
+      std::function<void()> what = std::move(it->second);
+      Queue.erase(it);
+      what();
+    }
+    return summary();
+  }
+
+private:
+  void at(Time time, std::function<void()> what) {
+    Queue.emplace(time, std::move(what));
+  }
+
+  void arrive(Time time) {
+    if (time - Time{} > Length)
+      return;
+    at(time, [this, time] {
+      Job job{.Arrived = time,
+              .Instance = static_cast<uint32_t>(Random() % Instances)};
+      place(job);
+      arrive(time + Duration(1 + static_cast<int64_t>(Gap(Random))));
+    });
+  }
+
+  void place(const Job &job) {
+    if (Now - job.Arrived > GiveUpAfter) {
+      ++Out.Lost;
+      return;
+    }
+    std::optional<TargetId> target = Policy->choose(job, Now);
+    if (!target) {
+      Waiting[job.Instance].push_back(job);
+      return;
+    }
+    Policy->sent(job, *target);
+    if (Running[*target] >= Slots)
+      return shed(job, *target);
+    ++Running[*target];
+    ++Worked[*target];
+    Waits.push_back(static_cast<double>((Now - job.Arrived).count()) / 1000);
+    auto work = std::uniform_int_distribution<int64_t>(20'000, 60'000)(Random);
+    at(Now + Duration(work), [this, job, target = *target, sentAt = Now] {
+      --Running[target];
+      ++Out.Done;
+      Policy->ended(job, target, RequestEnd::Answered, sentAt, Now);
+      wake(job.Instance);
+    });
+  }
+
+  void shed(Job job, TargetId target) {
+    ++Out.Sheds;
+    Policy->ended(job, target, RequestEnd::Shed, Now, Now);
+    job.Tried.push_back(target);
+    if (++job.Tries >= MostTries) {
+      job.Tried.clear();
+      job.Tries = 0;
+    }
+    at(Now + RetryAfter, [this, job] { place(job); });
+  }
+
+  void wake(uint32_t instance) {
+    std::vector<Job> jobs = std::move(Waiting[instance]);
+    Waiting[instance].clear();
+    for (const Job &it : jobs)
+      place(it);
+  }
+
+  Result summary() {
+    double sum = 0;
+    double most = 0;
+    for (const auto &[id, count] : Worked) {
+      sum += static_cast<double>(count);
+      most = std::max(most, static_cast<double>(count));
+    }
+    Out.Imbalance = most * TargetCount / sum;
+    std::sort(Waits.begin(), Waits.end());
+    Out.WaitP99Ms = Waits[Waits.size() * 99 / 100];
+    return Out;
+  }
+
+  Service Records = makeService();
+  Duration Length;
+  std::mt19937_64 Random;
+  std::exponential_distribution<double> Gap;
+  Placement *Policy = nullptr;
+  Time Now;
+  std::multimap<Time, std::function<void()>> Queue;
+  std::map<TargetId, uint32_t> Running;
+  std::map<TargetId, uint64_t> Worked;
+  std::map<uint32_t, std::vector<Job>> Waiting;
+  std::vector<double> Waits;
+  Result Out;
+};
+
+void print(const char *name, const Result &it) {
+  std::printf("%-22s imbalance=%.3f wait_p99_ms=%.1f done=%lu lost=%lu "
+              "sheds=%lu\n",
+              name, it.Imbalance, it.WaitP99Ms,
+              static_cast<unsigned long>(it.Done),
+              static_cast<unsigned long>(it.Lost),
+              static_cast<unsigned long>(it.Sheds));
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app("Request placement against baselines, in simulated time.");
+  double load = 0.8;
+  int seconds = 60;
+  uint64_t seed = 1;
+  app.add_option("--load", load, "Of all slots' capacity");
+  app.add_option("--seconds", seconds, "Simulated");
+  app.add_option("--seed", seed, "");
+  CLI11_PARSE(app, argc, argv);
+  auto fresh = [&] {
+    return Simulation(load, std::chrono::seconds(seconds), seed);
+  };
+  {
+    Simulation world = fresh();
+    Ours placement(world.service());
+    print("chicorybank", world.run(placement));
+  }
+  {
+    Simulation world = fresh();
+    RoundRobin placement;
+    print("round robin", world.run(placement));
+  }
+  {
+    Simulation world = fresh();
+    RandomChoice placement;
+    print("random", world.run(placement));
+  }
+  for (int age : {0, 2, 10}) {
+    Simulation world = fresh();
+    LeastReported placement(std::chrono::seconds(age), world.running());
+    std::string name = "least reported, " + std::to_string(age) + " s old";
+    print(name.c_str(), world.run(placement));
+  }
+  return 0;
+}
--- a/lib/core/RequestPath.h
+++ b/lib/core/RequestPath.h
@@ -12,6 +12,14 @@
 
 namespace chicory {
 
+// A packet is passed on by the first instance, the owner and a former owner.
+inline constexpr uint8_t MaxRequestHops = 3;
+// An outcome is kept this long after its request's deadline, for duplicates.
+inline constexpr Duration KeepAfterDeadline = std::chrono::seconds(1);
+// Before a retry, a request waits this long and up to the spread longer.
+inline constexpr Duration BackOffLeast = std::chrono::milliseconds(5);
+inline constexpr Duration BackOffSpread = std::chrono::milliseconds(20);
+
 /// Names a request: ids are unique on their flow only.
 struct RequestKey {
   FlowKey Flow;
@@ -52,7 +60,15 @@
 using RequestLife = std::variant<AskingPrevious, Queued, BackingOff, Running,
                                  Adopted, Answered, RefusedState>;
 
-/// Decides on requests. docs/design/at-most-once.md and overload.md tell why.
+/// True where the caller has been told its outcome.
+inline bool isFinished(const RequestLife &life) {
+  return std::holds_alternative<Answered>(life) ||
+         std::holds_alternative<RefusedState>(life);
+}
+
+/// Decides on requests. `RequestPath.cpp` has admission, the queues and timers;
+/// `RequestOutcome.cpp` what targets answer and what callers are told.
+/// docs/design/at-most-once.md and overload.md tell why.
 class RequestPath {
 public:
   RequestPath(CoreState &state, FlowPath &flows);
--- a/lib/core/Targets.cpp
+++ b/lib/core/Targets.cpp
@@ -16,8 +16,12 @@
 constexpr double SampleWeight = 0.1;
 // A new target starts with this part of its weight.
 constexpr double LeastRamp = 0.1;
-constexpr double BorrowGrowth = 0.1;
+// Growth with each answer and shrinkage with each shed. Where they balance, the
+// share of sheds is growth / ((1 - shrink) * window): below the retry budget.
+constexpr double BorrowGrowth = 0.02;
+constexpr double BorrowShrink = 0.5;
 constexpr double LeastBorrowWindow = 0.05;
+constexpr double MostBorrowWindow = 1000;
 
 bool contains(std::span<const TargetId> ids, TargetId id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -207,7 +211,6 @@
     return;
   TargetState &state = it->second;
   ServiceState &service = Services[state.Service];
-  bool borrowed = state.InFlight > state.Share;
   state.InFlight -= state.InFlight > 0 ? 1 : 0;
   switch (how) {
   case RequestEnd::Answered: {
@@ -215,15 +218,17 @@
     service.MeanMicros += SampleWeight * (micros - service.MeanMicros);
     state.FailuresInRow = 0;
     state.Ejections = 0;
-    if (borrowed)
-      service.BorrowWindow += BorrowGrowth;
+    // Growth by every answer, not only by those on borrowed slots: a window
+    // below one lets nothing be borrowed and would stay shut for good.
+    service.BorrowWindow =
+        std::min(service.BorrowWindow + BorrowGrowth, MostBorrowWindow);
     break;
   }
   case RequestEnd::Shed:
     state.CoolUntil =
         now + Options.CoolDown + Duration(Random() % Options.CoolDown.count());
     service.BorrowWindow =
-        std::max(service.BorrowWindow / 2, LeastBorrowWindow);
+        std::max(service.BorrowWindow * BorrowShrink, LeastBorrowWindow);
     break;
   case RequestEnd::Silent:
   case RequestEnd::Reset:
--- a/tools/demolib/scenarios.py
+++ b/tools/demolib/scenarios.py
@@ -1,6 +1,7 @@
 """What happens to a deployment while it is driven, and the figures."""
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -169,6 +170,7 @@
         rate = arguments.load * SLOTS * 1000 / SERVICE_MS
         dep.http("POST", world.fabric_control, "/control", do="rate", value=rate)
     dep.http("POST", world.fabric_control, "/control", do="start")
+    world.cpu_before = {it.process.pid: usage(it.process)[0] for it in world.instances.values()}
     director = Director(world, arguments.seconds)
     threads = [threading.Thread(target=getattr(director, name.replace("-", "_"))) for name in arguments.scenario]
     for thread in threads:
@@ -190,6 +192,14 @@
     return worst
 
 
+def usage(process):
+    """Processor seconds and resident bytes of a running process."""
+    with open(f"/proc/{process.pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK"), int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+
+
 def collect(world, arguments):
     calls = json.loads(dep.http("GET", world.fabric_control, "/stats"))
     backends = json.loads(dep.http("GET", world.backend_control, "/stats"))
@@ -218,7 +228,8 @@
     figures["retries"] = total("chicory_retries_total")
     figures["refusals"] = sum(calls["not_run"].values()) + sum(calls["unknown"].values())
     if arguments.verbose:
-        print(json.dumps({"calls": calls, "sheds": sum(it["sheds"] for it in backends["targets"]), "passed_on": total("chicory_packets_passed_on"), "recovered_by_peer": total("chicory_flows_recovered_by_peer"), "recovered_by_target": total("chicory_flows_recovered_by_target"), "recovery_tries": total("chicory_recovery_tries"), "goodput_per_s": round(calls["answered"] / arguments.seconds, 1), "targets": backends["targets"]}))
+        spent = [usage(it.process) for it in world.instances.values()]
+        print(json.dumps({"cpu_percent_max": round(max(max(0, cpu - world.cpu_before.get(pid, cpu)) for (cpu, _), pid in zip(spent, (it.process.pid for it in world.instances.values()))) / (arguments.seconds + SETTLE_SECONDS) * 100, 2), "rss_mb_max": round(max(rss for _, rss in spent) / 2**20, 1), "calls": calls, "sheds": sum(it["sheds"] for it in backends["targets"]), "passed_on": total("chicory_packets_passed_on"), "recovered_by_peer": total("chicory_flows_recovered_by_peer"), "recovered_by_target": total("chicory_flows_recovered_by_target"), "recovery_tries": total("chicory_recovery_tries"), "goodput_per_s": round(calls["answered"] / arguments.seconds, 1), "targets": backends["targets"]}))
         for it in metrics:
             print({key: value for key, value in it.items() if value and ("refusals" in key or "retries" in key)})
     return figures
