--- a/bench/CoreBench.cpp
+++ b/bench/CoreBench.cpp
@@ -201,7 +201,21 @@
   return static_cast<double>(after - before);
 }
 
+/// Heap bytes that remain of it once it is in the past.
+double pastBytes(uint32_t rules, uint32_t targets) {
+  CompiledRules compiled(ruleSet(rules, targets));
+  size_t before = ::mallinfo2().uordblks;
+  auto past = std::make_unique<const PastRules>(compiled);
+  size_t after = ::mallinfo2().uordblks;
+  return static_cast<double>(after - before);
+}
+
 void measureRuleMemory() {
+  double pastBase = pastBytes(1000, 100);
+  report("past_bytes_per_rule", (pastBytes(11'000, 100) - pastBase) / 10'000,
+         "bytes");
+  report("past_bytes_per_target", (pastBytes(1000, 10'100) - pastBase) / 10'000,
+         "bytes");
   double base = compiledBytes(1000, 100);
   report("bytes_per_rule", (compiledBytes(11'000, 100) - base) / 10'000,
          "bytes");
--- a/include/chicorybank/core/Rules.h
+++ b/include/chicorybank/core/Rules.h
@@ -26,6 +26,7 @@
   const RuleSet &set() const { return Set; }
   /// The first rule that matches, or null.
   const Rule *match(const FlowKey &key) const;
+  const RuleMatcher &matcher() const { return Matcher; }
   /// The service with this id, or null.
   const Service *service(ServiceId id) const;
   /// The service that has this target, or null.
@@ -42,6 +43,32 @@
 /// the same version.
 using CompiledRulesPtr = std::shared_ptr<const CompiledRules>;
 
+/// What is kept of a rule set that is no longer the newest: which service each
+/// flow and each target had. Names, zones and weights are gone, and with them
+/// most of its memory.
+class PastRules {
+public:
+  explicit PastRules(const CompiledRules &rules);
+
+  /// The service of a flow; zero where it had none.
+  ServiceId serviceOf(const FlowKey &key) const;
+  /// The targets of a service.
+  std::vector<TargetId> targetsOf(ServiceId service) const;
+  /// The service of a target; zero where it had none. Walks all targets.
+  ServiceId serviceOfTarget(TargetId target) const;
+
+private:
+  struct TargetOfService {
+    ServiceId Service;
+    TargetId Id;
+  };
+
+  RuleMatcher Matcher;
+  std::vector<ServiceId> ServiceOfRule;
+  /// Sorted by service.
+  std::vector<TargetOfService> Targets;
+};
+
 /// The newest rule set and those before it.
 class RuleHistory {
 public:
@@ -64,7 +91,9 @@
 
 private:
   size_t Depth;
-  std::deque<CompiledRulesPtr> Versions;
+  CompiledRulesPtr Newest;
+  /// The one before the newest first.
+  std::deque<PastRules> Past;
 };
 
 } // namespace chicory
--- a/lib/core/FlowPath.cpp
+++ b/lib/core/FlowPath.cpp
@@ -7,7 +7,7 @@
 // How many former homes are asked for a pin.
 constexpr size_t PeersToAsk = 3;
 // A sweep of the whole table takes about this many ticks.
-constexpr size_t SweepTicks = 500;
+constexpr size_t SweepTicks = 250;
 
 uint32_t seconds(Time now) {
   return static_cast<uint32_t>(
--- a/lib/core/Rules.cpp
+++ b/lib/core/Rules.cpp
@@ -29,52 +29,98 @@
   return it == ByTarget.end() ? nullptr : it->second;
 }
 
+PastRules::PastRules(const CompiledRules &rules) : Matcher(rules.matcher()) {
+  for (const Rule &it : rules.set().Rules)
+    ServiceOfRule.push_back(it.Service);
+  for (const Service &service : rules.set().Services)
+    for (const Target &target : service.Targets)
+      Targets.push_back({.Service = service.Id, .Id = target.Id});
+  std::sort(Targets.begin(), Targets.end(),
+            [](const TargetOfService &a, const TargetOfService &b) {
+              return a.Service < b.Service;
+            });
+  Targets.shrink_to_fit();
+  ServiceOfRule.shrink_to_fit();
+}
+
+ServiceId PastRules::serviceOf(const FlowKey &key) const {
+  std::optional<uint32_t> i = Matcher.firstMatch(key);
+  return i ? ServiceOfRule[*i] : ServiceId{};
+}
+
+std::vector<TargetId> PastRules::targetsOf(ServiceId service) const {
+  auto it = std::lower_bound(
+      Targets.begin(), Targets.end(), service,
+      [](const TargetOfService &a, ServiceId b) { return a.Service < b; });
+  std::vector<TargetId> out;
+  for (; it != Targets.end() && it->Service == service; ++it)
+    out.push_back(it->Id);
+  return out;
+}
+
+ServiceId PastRules::serviceOfTarget(TargetId target) const {
+  for (const TargetOfService &it : Targets)
+    if (it.Id == target)
+      return it.Service;
+  return {};
+}
+
 bool RuleHistory::learn(CompiledRulesPtr rules) {
   if (rules == nullptr || rules->version() <= version())
     return false;
-  Versions.push_front(std::move(rules));
-  if (Versions.size() > Depth)
-    Versions.pop_back();
+  if (Newest != nullptr)
+    Past.emplace_front(*Newest);
+  Newest = std::move(rules);
+  if (Past.size() + 1 > Depth)
+    Past.pop_back();
   return true;
 }
 
-const CompiledRules *RuleHistory::newest() const {
-  return Versions.empty() ? nullptr : Versions.front().get();
-}
+const CompiledRules *RuleHistory::newest() const { return Newest.get(); }
 
 RuleVersion RuleHistory::version() const {
-  return Versions.empty() ? RuleVersion{} : Versions.front()->version();
+  return Newest == nullptr ? RuleVersion{} : Newest->version();
 }
 
 std::vector<ServiceId> RuleHistory::servicesOf(const FlowKey &key) const {
   std::vector<ServiceId> out;
-  for (const CompiledRulesPtr &it : Versions) {
-    const Rule *rule = it->match(key);
-    bool known = rule == nullptr || rule->Service == ServiceId{} ||
-                 std::find(out.begin(), out.end(), rule->Service) != out.end();
+  auto add = [&out](ServiceId id) {
+    bool known =
+        id == ServiceId{} || std::find(out.begin(), out.end(), id) != out.end();
     if (!known)
-      out.push_back(rule->Service);
-  }
+      out.push_back(id);
+  };
+  if (const Rule *rule = Newest == nullptr ? nullptr : Newest->match(key))
+    add(rule->Service);
+  for (const PastRules &it : Past)
+    add(it.serviceOf(key));
   return out;
 }
 
 std::vector<TargetId> RuleHistory::targetsOf(ServiceId service) const {
   std::vector<TargetId> out;
-  for (const CompiledRulesPtr &it : Versions) {
-    const Service *found = it->service(service);
-    if (found == nullptr)
-      continue;
+  auto add = [&out](TargetId id) {
+    if (std::find(out.begin(), out.end(), id) == out.end())
+      out.push_back(id);
+  };
+  const Service *found = Newest == nullptr ? nullptr : Newest->service(service);
+  if (found != nullptr)
     for (const Target &target : found->Targets)
-      if (std::find(out.begin(), out.end(), target.Id) == out.end())
-        out.push_back(target.Id);
-  }
+      add(target.Id);
+  for (const PastRules &it : Past)
+    for (TargetId target : it.targetsOf(service))
+      add(target);
   return out;
 }
 
 ServiceId RuleHistory::serviceOfTarget(TargetId target) const {
-  for (const CompiledRulesPtr &it : Versions)
-    if (const Service *service = it->serviceOfTarget(target))
-      return service->Id;
+  if (Newest == nullptr)
+    return {};
+  if (const Service *service = Newest->serviceOfTarget(target))
+    return service->Id;
+  for (const PastRules &it : Past)
+    if (ServiceId id = it.serviceOfTarget(target); id != ServiceId{})
+      return id;
   return {};
 }
 
--- a/lib/daemon/Daemon.cpp
+++ b/lib/daemon/Daemon.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr Duration TickInterval = std::chrono::milliseconds(5);
+constexpr Duration TickInterval = std::chrono::milliseconds(10);
 constexpr Duration WatchCheckInterval = std::chrono::seconds(1);
 // How many instances of a zone watch the platform.
 constexpr size_t WatchersPerZone = 1;
--- a/lib/daemon/Journal.cpp
+++ b/lib/daemon/Journal.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr auto Pause = std::chrono::milliseconds(20);
+constexpr auto Pause = std::chrono::milliseconds(50);
 constexpr int64_t MsPerSecond = 1000;
 
 int64_t wallMs() {
--- a/lib/daemon/PlatformDuty.cpp
+++ b/lib/daemon/PlatformDuty.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration PauseStep = std::chrono::milliseconds(20);
+constexpr Duration PauseStep = std::chrono::milliseconds(50);
 constexpr Duration RetryLeast = std::chrono::milliseconds(200);
 constexpr Duration RetryMost = std::chrono::seconds(5);
 constexpr uint64_t MaxDoublings = 5;
