--- /dev/null
+++ b/tests/DaemonTest.cpp
@@ -0,0 +1,133 @@
+// A whole daemon on loopback, with nobody around it.
+
+#include "chicorybank/daemon/Daemon.h"
+
+#include "chicorybank/base/Socket.h"
+
+#include "Story.h"
+
+#include <httplib.h>
+#include <sys/socket.h>
+#include <thread>
+
+using namespace story;
+using namespace chicory;
+
+namespace {
+
+constexpr uint32_t Loopback = 0x7f000001;
+
+Address freeTcp() {
+  return boundAddress(*listenTcp({.Ip = Loopback, .Port = 0}));
+}
+
+Address freeUdp() {
+  return boundAddress(*bindUdp({.Ip = Loopback, .Port = 0}));
+}
+
+/// A daemon whose platform does not exist.
+Settings lonely() {
+  Settings out;
+  out.Self = {.Id = InstanceId{1},
+              .Zone = "z",
+              .Packets = freeUdp(),
+              .Peers = freeTcp(),
+              .Admin = freeTcp()};
+  out.ListenPackets = out.Self.Packets;
+  out.ListenPeers = out.Self.Peers;
+  out.Fabric = freeUdp();
+  out.PeerSecret = "a secret for tests only";
+  out.Platform.Servers = {freeTcp()};
+  out.Platform.FromIp = Loopback;
+  out.LogLevel = "error";
+  return out;
+}
+
+/// The daemon on a thread of its own, stopped at the end.
+class RunningDaemon {
+public:
+  RunningDaemon() : Config(lonely()), Running(Config) {
+    auto started = Running.start();
+    expectTrue(started.has_value(), started ? "" : started.error());
+    Worker = std::thread([this] { Running.run(StopAsked); });
+  }
+  ~RunningDaemon() { stop(); }
+  void stop() {
+    StopAsked = true;
+    if (Worker.joinable())
+      Worker.join();
+  }
+  std::string get(const std::string &path) {
+    httplib::Client client(formatIp(Loopback), Config.Self.Admin.Port);
+    httplib::Result result = client.Get(path);
+    return result ? result->body : "";
+  }
+  const Settings Config;
+
+private:
+  Daemon Running;
+  std::atomic<bool> StopAsked = false;
+  std::thread Worker;
+};
+
+} // namespace
+
+class DaemonTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DaemonTest);
+  CPPUNIT_TEST(survivesGarbage);
+  CPPUNIT_TEST(stopsWithoutAPlatform);
+  CPPUNIT_TEST(refusesATakenAddress);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Symptom: an instance ends when a stray datagram comes.
+  void survivesGarbage() {
+    RunningDaemon daemon;
+    auto socket = bindUdp({.Ip = Loopback, .Port = 0});
+    sockaddr_in to = toSockaddr(daemon.Config.Self.Packets);
+    std::vector<QByteArray> garbage = {"", "x", QByteArray(3000, 'x'),
+                                       QByteArray("\x84\x01\x02", 3),
+                                       QByteArray("\x8d\x07\x01", 3)};
+    for (const QByteArray &it : garbage)
+      ::sendto(socket->get(), it.constData(), static_cast<size_t>(it.size()), 0,
+               reinterpret_cast<sockaddr *>(&to), sizeof(to));
+    std::string metrics;
+    // Bounds a broken run only.
+    for (int n = 0; n < 1000; ++n) {
+      metrics = daemon.get("/metrics");
+      if (metrics.find("reason=\"bad_version\"} 1") != std::string::npos)
+        break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    expectTrue(metrics.find("reason=\"bad_version\"} 1") != std::string::npos,
+               "the other version is counted");
+    expectTrue(metrics.find("reason=\"bad_packet\"} 3") != std::string::npos,
+               "the three unreadable packets are counted");
+    expectTrue(metrics.find("reason=\"bad_peer_message\"} 1") !=
+                   std::string::npos,
+               "so is the message that claims to come from a peer");
+    section("bad questions get an answer", [&] {
+      expectTrue(
+          daemon.get("/explain?flow=nonsense").find("expected IP:port") !=
+              std::string::npos,
+          "what is expected");
+    });
+  }
+
+  void stopsWithoutAPlatform() {
+    RunningDaemon daemon;
+    daemon.stop();
+  }
+
+  void refusesATakenAddress() {
+    RunningDaemon first;
+    Settings second = lonely();
+    second.ListenPackets = first.Config.ListenPackets;
+    Daemon daemon(second);
+    auto started = daemon.start();
+    expectTrue(!started.has_value(), "it does not start");
+    expectTrue(started.error().find("bind") != std::string::npos,
+               "it says why: " + started.error());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DaemonTest);
