--- a/bench/CoreBench.cpp
+++ b/bench/CoreBench.cpp
@@ -132,6 +132,7 @@
     report("open_ns" + suffix, spent.count() / flows, "ns");
     std::mt19937 random(1);
     std::vector<Event> events;
+    events.reserve(10'000);
     for (int i = 0; i < 10'000; ++i)
       events.emplace_back(
           PacketArrived{.Packet = packet(PacketKind::Data, random() % flows)});
