--- a/include/chicorybank/core/Targets.h
+++ b/include/chicorybank/core/Targets.h
@@ -80,10 +80,11 @@
                                         uint64_t flowHash, size_t instances,
                                         Time now) const;
   /// The target for a request, or none where this instance must wait for one
-  /// of its slots. `tried` are targets that have already refused it.
+  /// of its slots. `tried` are targets that have already refused it. Without
+  /// `mayBorrow` only this instance's own slots count.
   std::optional<TargetId> chooseForRequest(const Service &service,
                                            std::span<const TargetId> tried,
-                                           Time now);
+                                           Time now, bool mayBorrow = true);
   /// How many requests of a service this instance may run at the same time.
   uint32_t shareOf(const Service &service) const;
   /// How many it runs now.
--- a/lib/core/RequestPath.cpp
+++ b/lib/core/RequestPath.cpp
@@ -191,8 +191,11 @@
              actions);
       continue;
     }
-    std::optional<TargetId> target =
-        Shared.Book.chooseForRequest(*service, entry->second.Tried, now);
+    // A borrowed slot may turn out to be taken. Without a retry to spare the
+    // request waits for a slot of this instance's own.
+    bool mayBorrow = RetryTokens >= 1;
+    std::optional<TargetId> target = Shared.Book.chooseForRequest(
+        *service, entry->second.Tried, now, mayBorrow);
     if (!target)
       return;
     queue->second.pop_front();
--- a/lib/core/Targets.cpp
+++ b/lib/core/Targets.cpp
@@ -127,7 +127,8 @@
 
 std::optional<TargetId>
 Targets::chooseForRequest(const Service &service,
-                          std::span<const TargetId> tried, Time now) {
+                          std::span<const TargetId> tried, Time now,
+                          bool mayBorrow) {
   struct Choice {
     std::optional<TargetId> Id;
     double Load = 0;
@@ -156,8 +157,8 @@
   if (own.Id)
     return own.Id;
   double window = Services[service.Id].BorrowWindow;
-  bool mayBorrow = running < shareOf(service) + static_cast<uint32_t>(window);
-  return mayBorrow ? borrowed.Id : std::nullopt;
+  bool room = running < shareOf(service) + static_cast<uint32_t>(window);
+  return mayBorrow && room ? borrowed.Id : std::nullopt;
 }
 
 uint32_t Targets::shareOf(const Service &service) const {
