--- a/tools/demolib/deployment.py
+++ b/tools/demolib/deployment.py
@@ -51,11 +51,11 @@
 class Instance:
     """One chicoryd with its addresses."""
 
-    def __init__(self, number, zone_index, zone):
+    def __init__(self, number, zone_index, zone, net):
         self.number = number
         self.zone = zone
         self.zone_index = zone_index
-        self.ip = f"127.0.{zone_index + 1}.{number}"
+        self.ip = f"{net}.{zone_index + 1}.{number}"
         self.packets = f"{self.ip}:{free_port(self.ip, socket.SOCK_DGRAM)}"
         self.peers = f"{self.ip}:{free_port(self.ip)}"
         self.admin = f"{self.ip}:{free_port(self.ip)}"
@@ -84,6 +84,8 @@
         self.processes = []
         self.instances = {}
         self.next_number = 1
+        # Two demos at once must not race for the same free ports.
+        self.net = f"127.{os.getpid() % 250 + 1}"
         self.targets = []
         self.extra_rules = 0
         self.canary_port = 0
@@ -123,7 +125,7 @@
         )
         self.fabric = lines[0].split("=")[1]
         self.fabric_control = "127.0.0.1:" + lines[-1].split("=")[1]
-        ips = lambda count, first: ",".join(f"127.0.{i % 3 + 1}.{first + i}" for i in range(count))
+        ips = lambda count, first: ",".join(f"{self.net}.{i % 3 + 1}.{first + i}" for i in range(count))
         lines = self.read_lines(
             self.start_process(
                 "standin-backend", "standin-backend", "--fabric", self.fabric, "--seed", str(arguments.seed),
@@ -141,7 +143,7 @@
     # --- instances ---------------------------------------------------------
 
     def new_instance(self, zone_index):
-        instance = Instance(self.next_number, zone_index, self.profile["zones"][zone_index])
+        instance = Instance(self.next_number, zone_index, self.profile["zones"][zone_index], self.net)
         self.next_number += 1
         relayed = json.loads(http("POST", self.wire_control, "/relay", packets=instance.packets, peers=instance.peers))
         instance.advertise_packets = relayed["packets"]
--- a/tools/demolib/scenarios.py
+++ b/tools/demolib/scenarios.py
@@ -87,7 +87,7 @@
         self.cut(zone, False)
 
     def cut(self, zone, on):
-        net = f"127.0.{zone}."
+        net = f"{self.world.net}.{zone}."
         dep.http("POST", self.world.wire_control, "/cut", net=net if on else "")
         dep.http("POST", self.world.platform, "/control/faults", cut=net if on else "")
         for target in self.world.targets:
