Probe servers that fall silent; reset repeatable requests of unreachable ones

Cause: a server that loses power keeps its registration for three heartbeats. Openings moved away after two misses, but requests on open flows waited until their callers' deadlines, and so did each user's next one.

Change: silence raises a doubt, a doubt a probe: a TCP connection that is opened and closed. Two failures in a row, while some other server answers, make a server unreachable for 600 ms. Requests under way on routes whose requests may be repeated are reset, and so is the next request on its other flows. What may not run twice is passed on as before. `type` of a route is read for that.

--- a/include/chicorybank/base/Reasons.h
+++ b/include/chicorybank/base/Reasons.h
@@ -56,6 +56,7 @@
   X(AmbiguousToken, "ambiguous_token")                                         \
   X(BackendGone, "backend_gone")                                               \
   X(BackendSilent, "backend_silent")                                           \
+  X(BackendUnreachable, "backend_unreachable")                                 \
   X(RouteRemoved, "route_removed")                                             \
   X(NotCurrent, "not_current")
 
--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -4,6 +4,7 @@
 #ifndef CHICORYBANK_TOKEN_BACKENDS_H
 #define CHICORYBANK_TOKEN_BACKENDS_H
 
+#include "chicorybank/token/Reach.h"
 #include "chicorybank/token/Types.h"
 
 #include <string>
@@ -55,6 +56,7 @@
   Time SuspectUntil;
   /// How often in a row it has become suspect.
   uint32_t Suspicions = 0;
+  Reach Probes;
 
   bool takesNew() const { return State == Standing::Ready; }
   bool suspect(Time now) const { return now < SuspectUntil; }
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -48,6 +48,7 @@
   /// How long a suspect is avoided; doubles with each suspicion in a row.
   Duration SuspectFor = std::chrono::milliseconds(800);
   Duration SuspectForMost = std::chrono::seconds(4);
+  ReachOptions Reaching;
   /// A token that stays unknown for this long, while the registrations are
   /// current, belongs to a server that has ended: registrations arrive within
   /// a second.
@@ -62,6 +63,8 @@
   uint64_t Packets = 0;
   uint64_t Forwarded = 0;
   uint64_t Opened = 0;
+  uint64_t Probes = 0;
+  uint64_t ProbesFailed = 0;
   /// From an opening sent to the caller's next packet.
   Histogram HandshakeTime;
   /// From a request's data to the first sign of its answer.
@@ -99,12 +102,19 @@
     bool Counted = false;
   };
 
+  /// A request that waits for the first sign of its answer.
+  struct Request {
+    FlowKey Flow;
+    Time SentAt;
+  };
+
   void on(const PacketSeen &event, Time now, Actions &actions);
   void on(const RoutesLearned &event, Time now, Actions &actions);
   void on(const BackendsLearned &event, Time now, Actions &actions);
   void on(const BackendsComplete &event, Time now, Actions &actions);
   void on(const NewsChecked &event, Time now, Actions &actions);
   void on(const BoundsChanged &event, Time now, Actions &actions);
+  void on(const ProbeEnded &event, Time now, Actions &actions);
   void on(const Tick &event, Time now, Actions &actions);
 
   void open(const PacketSeen &event, Time now, Actions &actions);
@@ -125,9 +135,22 @@
 
   void progress(BackendIndex i, Time now);
   void missed(BackendIndex i, Time now, Actions &actions);
+  void suspect(BackendIndex i, Time now, Actions &actions);
+
+  void doubt(BackendIndex i, Time now, Actions &actions);
+  void probe(BackendIndex i, Time now, Actions &actions);
+  bool othersAnswered(BackendIndex i, Time since) const;
+  bool knownUnreachable(const Backend &backend, Time now) const;
+  bool resetUnreachable(const FlowPacket &head, BackendIndex i, Time now,
+                        Actions &actions);
+  void resetRequestsOf(BackendIndex i, Time now, Actions &actions);
+  void checkRequests(Time now, Actions &actions);
+  Duration requestPatience() const;
   void steerOpeningsAway(BackendIndex from, Time now, Actions &actions);
   void checkOpenings(Time now, Actions &actions);
   void resetFlowsOf(BackendIndex i, Time now, Actions &actions);
+  void resetFlows(const std::vector<FlowKey> &keys, Reason why, Time now,
+                  Actions &actions);
 
   FlowState *flowOf(const FlowKey &key);
   FlowState &remember(const FlowKey &key, BackendIndex i, Time now);
@@ -163,6 +186,7 @@
   Backends Servers;
   FlowMemory Flows;
   std::deque<Opening> Openings;
+  std::deque<Request> Requests;
   /// Flows with an unknown token: when the first packet came.
   std::unordered_map<FlowKey, Time, FlowKeyHash> Unknown;
   /// Keeps the bytes of openings that a `Forward` points to.
@@ -175,6 +199,10 @@
   Time LastSweep;
   /// Smoothed time from an opening to the caller's next packet.
   Duration Handshake = Duration::zero();
+  /// Smoothed time from a request to the first sign of its answer.
+  Duration RequestWait = Duration::zero();
+  /// When this process last went on after standing still.
+  Time ResumedAt;
   bool SawBackends = false;
   CoreStats Stats;
 };
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -48,11 +48,25 @@
   Duration MaxFlowAge;
 };
 
+/// How a probe ended.
+enum class ProbeOutcome : uint8_t {
+  Reached,
+  Failed,   ///< Refused, or no answer in time.
+  NotTried, ///< There was no room for it; it shows nothing.
+};
+
+/// A probe that the core asked for has ended.
+struct ProbeEnded {
+  BackendId Id;
+  ProbeOutcome Outcome = ProbeOutcome::NotTried;
+};
+
 /// Time passes; send one every few milliseconds while flows are opening.
 struct Tick {};
 
-using Event = std::variant<PacketSeen, RoutesLearned, BackendsLearned,
-                           BackendsComplete, NewsChecked, BoundsChanged, Tick>;
+using Event =
+    std::variant<PacketSeen, RoutesLearned, BackendsLearned, BackendsComplete,
+                 NewsChecked, BoundsChanged, ProbeEnded, Tick>;
 
 /// Send the packet to a backend server, with this token in it.
 struct Forward {
@@ -71,6 +85,14 @@
   Reason Why = Reason::None;
 };
 
+/// Open a connection to a backend server and close it again. Exactly one
+/// `ProbeEnded` has to follow.
+struct ProbeBackend {
+  BackendId Id;
+  Address Where;
+  Duration Timeout;
+};
+
 /// Something worth a log line.
 struct Decision {
   /// What happened, one word; a string literal.
@@ -84,7 +106,7 @@
   Duration Age = Duration::zero();
 };
 
-using Action = std::variant<Forward, ResetFlow, Decision>;
+using Action = std::variant<Forward, ResetFlow, ProbeBackend, Decision>;
 using Actions = std::vector<Action>;
 
 } // namespace chicory::token
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -61,6 +61,12 @@
          "Packets sent to backend servers", edge.Core.Forwarded);
   single(out, "chicory_opened_total", "counter", "Flows placed",
          edge.Core.Opened);
+  single(out, "chicory_probes_total", "counter",
+         "Connections opened to see whether a backend server can be reached",
+         edge.Core.Probes);
+  single(out, "chicory_probes_failed_total", "counter",
+         "Probes that were refused or not answered in time",
+         edge.Core.ProbesFailed);
   histogram(out, "chicory_handshake_seconds",
             "From an opening sent to the caller's next packet",
             edge.Core.HandshakeTime);
--- a/lib/edge/PacketDuty.cpp
+++ b/lib/edge/PacketDuty.cpp
@@ -50,7 +50,7 @@
 PacketDuty::PacketDuty(const EdgeSettings &settings, const Framing &framing,
                        FileDescriptor packets, Shared &shared)
     : Frames(framing), Common(shared), Packets(std::move(packets)),
-      Core(settings.Core), Batch(Packets.get()) {
+      Core(settings.Core), Batch(Packets.get()), Probes(Events, settings.Ip) {
   Events.watch(Packets.get(), EPOLLIN, [this](uint32_t) { readPackets(); });
   Common.PacketWakeup.attach(Events);
 }
@@ -58,10 +58,11 @@
 void PacketDuty::run() {
   while (!Common.Ended) {
     Time now = steadyNow();
-    Time next = std::min(Core.nextTick(now), PublishAt);
+    Time next = std::min({Core.nextTick(now), PublishAt, Probes.nextAt()});
     Events.wait(std::max(next - now, Duration::zero()));
     now = steadyNow();
     takeNews(now);
+    takeProbes(now);
     if (now >= Core.nextTick(now) || now >= PublishAt)
       tick(now);
   }
@@ -105,6 +106,8 @@
     } else if (const auto *reset = std::get_if<token::ResetFlow>(&it)) {
       size_t size = Frames.writeReset(*reset, Batch.next());
       Batch.add(size, Frames.callerAddress(reset->Flow));
+    } else if (const auto *probe = std::get_if<token::ProbeBackend>(&it)) {
+      Probes.start(*probe, steadyNow());
     } else if (const auto *decision = std::get_if<token::Decision>(&it)) {
       if (!Common.Decisions.try_enqueue(*decision))
         ++Stats.LogsDropped;
@@ -122,6 +125,13 @@
     Common.Serves = true;
 }
 
+void PacketDuty::takeProbes(Time now) {
+  std::vector<token::ProbeEnded> ended = Probes.takeEnded(now);
+  for (const token::ProbeEnded &it : ended)
+    handle(it, now);
+  Batch.flush();
+}
+
 void PacketDuty::tick(Time now) {
   handle(token::Tick{}, now);
   Batch.flush();
--- a/lib/edge/PacketDuty.h
+++ b/lib/edge/PacketDuty.h
@@ -4,6 +4,7 @@
 #ifndef CHICORYBANK_LIB_EDGE_PACKETDUTY_H
 #define CHICORYBANK_LIB_EDGE_PACKETDUTY_H
 
+#include "ReachProbes.h"
 #include "Shared.h"
 
 #include "chicorybank/edge/Framing.h"
@@ -49,6 +50,7 @@
   void readPackets();
   void takeNews(Time now);
   void tick(Time now);
+  void takeProbes(Time now);
   void handle(const token::Event &event, Time now);
   void carryOut();
   void publish(Time now);
@@ -60,6 +62,7 @@
   token::Core Core;
   token::Actions Actions;
   SendBatch Batch;
+  ReachProbes Probes;
   std::array<std::array<std::byte, Framing::MaxDatagram>, SendBatch::Size>
       Received;
   EdgeStats Stats;
--- a/lib/token/Choice.cpp
+++ b/lib/token/Choice.cpp
@@ -102,7 +102,14 @@
 void Core::missed(BackendIndex i, Time now, Actions &actions) {
   Backend &backend = Servers.at(i);
   ++backend.Unanswered;
-  if (backend.Unanswered < Options.SuspectAfter || backend.suspect(now))
+  doubt(i, now, actions);
+  if (backend.Unanswered >= Options.SuspectAfter)
+    suspect(i, now, actions);
+}
+
+void Core::suspect(BackendIndex i, Time now, Actions &actions) {
+  Backend &backend = Servers.at(i);
+  if (backend.suspect(now))
     return;
   Duration lasts = Options.SuspectFor;
   for (uint32_t n = 0; n < backend.Suspicions; ++n)
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -21,6 +21,9 @@
 // The longest deadline of a request that is plausible; a flow that looks busy
 // for longer has lost its last packet.
 constexpr Duration BusyLife = std::chrono::seconds(10);
+// A new time counts an eighth, as in TCP's estimate of the round trip (RFC
+// 6298).
+constexpr int SmoothingShare = 8;
 // Callers send data again after 200 ms at the earliest.
 constexpr Duration RetransmitGap = std::chrono::milliseconds(150);
 
@@ -146,6 +149,8 @@
       reset(head, Reason::BackendGone, i, now, actions);
     return;
   }
+  if (resetUnreachable(head, i, now, actions))
+    return;
   send(i, event.Raw, actions);
   follow(head, i, now, actions);
 }
@@ -175,8 +180,7 @@
     --Servers.at(i).Opening;
     if (flow.SentAt != Time{}) {
       Duration took = now - flow.SentAt;
-      // An eighth, as in TCP's estimate of the round trip (RFC 6298).
-      Handshake += (took - Handshake) / 8;
+      Handshake += (took - Handshake) / SmoothingShare;
       Stats.HandshakeTime.add(took);
       progress(i, now);
     }
@@ -198,7 +202,9 @@
     if (answered && flow.Busy) {
       flow.Busy = false;
       --backend.InProgress;
-      Stats.RequestTime.add(now - flow.BusySince);
+      Duration took = now - flow.BusySince;
+      RequestWait += (took - RequestWait) / SmoothingShare;
+      Stats.RequestTime.add(took);
     }
     return;
   }
@@ -209,6 +215,7 @@
     flow.Busy = true;
     flow.BusySince = now;
     ++backend.InProgress;
+    Requests.push_back({.Flow = head.key(), .SentAt = now});
   }
   flow.LastSequence = head.Sequence;
   flow.DataAt = now;
@@ -285,10 +292,14 @@
 void Core::on(const Tick & /*event*/, Time now, Actions &actions) {
   bool first = LastTick == Time{};
   // Callers' answers may wait in the socket; count nothing against servers.
-  if (!first && now - LastTick > StoodStill + SweepInterval)
+  if (!first && now - LastTick > StoodStill + SweepInterval) {
     Openings.clear();
+    Requests.clear();
+    ResumedAt = now;
+  }
   LastTick = now;
   checkOpenings(now, actions);
+  checkRequests(now, actions);
   if (now - LastSweep < SweepInterval)
     return;
   LastSweep = now;
@@ -305,21 +316,29 @@
   for (auto &[key, flow] : Flows)
     if (flow.Backend == i)
       ended.push_back(key);
-  for (const FlowKey &it : ended) {
+  resetFlows(ended, Reason::BackendGone, now, actions);
+}
+
+void Core::resetFlows(const std::vector<FlowKey> &keys, Reason why, Time now,
+                      Actions &actions) {
+  for (const FlowKey &it : keys) {
     const FlowState &flow = Flows.at(it);
     FlowPacket last{.Caller = it.Source,
                     .Route = it.Destination,
                     .Acknowledged = flow.LastAcknowledged};
-    reset(last, Reason::BackendGone, i, now, actions);
+    reset(last, why, flow.Backend, now, actions);
     forget(it);
   }
 }
 
 Time Core::nextTick(Time now) const {
   Time sweep = LastSweep + SweepInterval;
-  if (Openings.empty())
+  if (!Openings.empty())
+    return std::min(sweep, now + OpeningCheck);
+  if (Requests.empty())
     return sweep;
-  return std::min(sweep, now + OpeningCheck);
+  Time due = Requests.front().SentAt + requestPatience();
+  return std::min(sweep, std::max(due, now + OpeningCheck));
 }
 
 FlowState *Core::flowOf(const FlowKey &key) {
--- /dev/null
+++ b/tests/ReachTest.cpp
@@ -0,0 +1,233 @@
+// Servers that fall silent: probed, and given up on only where that is sure.
+
+#include "chicorybank/token/Reach.h"
+
+#include "Story.h"
+#include "TokenSamples.h"
+
+using namespace story;
+using namespace samples::token;
+
+namespace {
+
+RouteSet repeatableFeed() {
+  RouteSet out = bothRoutes(2);
+  out.Routes[0].Idempotent = true;
+  return out;
+}
+
+/// An instance with two servers of one service, where a caller's request went
+/// to the first and a probe of that server is under way.
+struct Doubtful : Instance {
+  Doubtful() {
+    learn({server(1), server(2)});
+    handle(RoutesLearned{repeatableFeed()});
+    pass(1s);
+    Waiting.Echo = tokenOf(BackendId{1});
+    packet(Waiting.data(1));
+    Sent = only<ProbeBackend>(pass(70ms));
+  }
+  /// Server 2 answers somebody.
+  void otherAnswers() {
+    Caller other{.Port = 7, .Echo = tokenOf(BackendId{2})};
+    uint32_t position = ++Count;
+    packet(other.data(position, position));
+    packet(other.ack(++Count));
+  }
+  Actions probeEnds(ProbeOutcome outcome) {
+    return handle(ProbeEnded{.Id = BackendId{1}, .Outcome = outcome});
+  }
+  /// Two probes of server 1 fail while server 2 answers.
+  Actions bothFail() {
+    probeEnds(ProbeOutcome::Failed);
+    otherAnswers();
+    return probeEnds(ProbeOutcome::Failed);
+  }
+
+  Caller Waiting{.Port = 1};
+  uint32_t Count = 10;
+  std::vector<ProbeBackend> Sent;
+};
+
+} // namespace
+
+class ReachTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReachTest);
+  CPPUNIT_TEST(givesUpOnAServerThatCannotBeReached);
+  CPPUNIT_TEST(sparesAServerThatIsSlow);
+  CPPUNIT_TEST(sparesRequestsThatMayNotRunTwice);
+  CPPUNIT_TEST(blamesItsOwnLinkFirst);
+  CPPUNIT_TEST(forgetsItsBeliefInTime);
+  CPPUNIT_TEST(takesAnAnswerForLife);
+  CPPUNIT_TEST(countsNoProbeFromBeforeAPause);
+  CPPUNIT_TEST(probesSeldom);
+  CPPUNIT_TEST(resetsNothingWithoutTwoFailedProbes);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Symptom: callers with an open flow wait until their deadline, and each
+  // user's next request as well, for seconds.
+  // Sequence: a server loses power; its registration stays until it lapses;
+  // requests on its flows go into the void.
+  // Cause: nothing but the registry could end a flow.
+  void givesUpOnAServerThatCannotBeReached() {
+    Doubtful instance;
+    expectEqual<size_t>(1, instance.Sent.size());
+    expectEqual<uint64_t>(1, instance.Sent[0].Id.Value);
+    section("after one failure it is asked again, for longer", [&] {
+      Actions actions = instance.probeEnds(ProbeOutcome::Failed);
+      auto again = only<ProbeBackend>(actions);
+      expectEqual<size_t>(1, again.size());
+      expectTrue(again[0].Timeout > instance.Sent[0].Timeout, "longer");
+      expectTrue(only<ResetFlow>(actions).empty(), "nothing is reset yet");
+    });
+    instance.otherAnswers();
+    section("after two the waiting caller is told", [&] {
+      Actions actions = instance.probeEnds(ProbeOutcome::Failed);
+      expectTrue(resetWhy(actions) == Reason::BackendUnreachable, "a reset");
+    });
+    section("and so is the next request on another flow", [&] {
+      Caller idle{.Port = 3, .Echo = tokenOf(BackendId{1})};
+      expectTrue(resetWhy(instance.packet(idle.data(1))) ==
+                     Reason::BackendUnreachable,
+                 "a reset");
+      expectEqual<uint64_t>(1, sentTo(instance.packet(idle.ack())));
+    });
+    section("new flows go elsewhere", [&] {
+      for (uint16_t port = 20; port < 40; ++port)
+        expectEqual<uint64_t>(
+            2, sentTo(instance.packet(Caller{.Port = port}.open())));
+    });
+  }
+
+  // Symptom: flows of a server that is merely slow are reset.
+  // Sequence: requests wait for long; the server accepts connections.
+  // Cause: silence taken for death.
+  void sparesAServerThatIsSlow() {
+    Doubtful instance;
+    instance.probeEnds(ProbeOutcome::Reached);
+    instance.otherAnswers();
+    expectTrue(only<ResetFlow>(instance.pass(5s)).empty(), "no reset");
+    expectEqual<uint64_t>(1, sentTo(instance.packet(instance.Waiting.data(1))));
+  }
+
+  // Symptom: a submission that was about to be answered is cut.
+  // Sequence: its server is cut off from this instance, not from the caller.
+  // Cause: a reset of a request that its caller can't repeat.
+  void sparesRequestsThatMayNotRunTwice() {
+    Doubtful instance;
+    Caller once{.Port = 5, .Route = Papers, .Echo = tokenOf(BackendId{3})};
+    instance.handle(BackendsLearned{.Present = {server(3, Certificates)}});
+    instance.packet(once.data(1));
+    instance.pass(70ms);
+    auto end = [&] {
+      return instance.handle(
+          ProbeEnded{.Id = BackendId{3}, .Outcome = ProbeOutcome::Failed});
+    };
+    end();
+    instance.otherAnswers();
+    expectTrue(only<ResetFlow>(end()).empty(), "no reset");
+    expectEqual<uint64_t>(3, sentTo(instance.packet(once.data(1))));
+  }
+
+  // Symptom: an instance whose link is down or full resets all flows.
+  // Sequence: probes to every server fail.
+  // Cause: its own fault taken for theirs.
+  void blamesItsOwnLinkFirst() {
+    Doubtful instance;
+    instance.probeEnds(ProbeOutcome::Failed);
+    Actions actions = instance.probeEnds(ProbeOutcome::Failed);
+    expectTrue(only<ResetFlow>(actions).empty(), "nobody answered anything");
+    expectEqual<uint64_t>(1, sentTo(instance.packet(instance.Waiting.data(1))));
+  }
+
+  // Symptom: flows are reset long after the servers are within reach again.
+  // Sequence: a cut between zones heals; nobody probed meanwhile.
+  // Cause: a belief without an end.
+  void forgetsItsBeliefInTime() {
+    Doubtful instance;
+    instance.bothFail();
+    instance.pass(700ms);
+    instance.otherAnswers();
+    Caller idle{.Port = 3, .Echo = tokenOf(BackendId{1})};
+    Actions actions = instance.packet(idle.data(1));
+    expectEqual<uint64_t>(1, sentTo(actions));
+    expectEqual<size_t>(1, only<ProbeBackend>(actions).size());
+    section("a probe that is answered ends the matter", [&] {
+      instance.probeEnds(ProbeOutcome::Reached);
+      expectEqual<uint64_t>(1, sentTo(instance.packet(idle.data(200))));
+    });
+  }
+
+  void takesAnAnswerForLife() {
+    Doubtful instance;
+    instance.probeEnds(ProbeOutcome::Failed);
+    instance.otherAnswers();
+    instance.packet(instance.Waiting.ack(500));
+    Actions actions = instance.probeEnds(ProbeOutcome::Failed);
+    expectTrue(only<ResetFlow>(actions).empty(),
+               "the server answered a caller");
+    Caller idle{.Port = 3, .Echo = tokenOf(BackendId{1})};
+    expectEqual<uint64_t>(1, sentTo(instance.packet(idle.data(1))));
+  }
+
+  // Symptom: after a pause of the process flows are reset.
+  // Sequence: a probe is sent, the process stands still, its time limit is
+  // over when the process goes on.
+  // Cause: its own silence taken for the server's.
+  void countsNoProbeFromBeforeAPause() {
+    Doubtful instance;
+    instance.Now += 3s;
+    instance.handle(Tick{});
+    Actions actions = instance.bothFail();
+    expectTrue(only<ResetFlow>(actions).empty(), "the first does not count");
+  }
+
+  void probesSeldom() {
+    Doubtful instance;
+    instance.probeEnds(ProbeOutcome::Reached);
+    size_t probes = 0;
+    for (int n = 0; n < 100; ++n) {
+      Caller next{.Port = static_cast<uint16_t>(100 + n),
+                  .Echo = tokenOf(BackendId{1})};
+      instance.packet(next.data(1));
+      for (const ProbeBackend &it : only<ProbeBackend>(instance.pass(10ms))) {
+        ++probes;
+        instance.handle(
+            ProbeEnded{.Id = it.Id, .Outcome = ProbeOutcome::Reached});
+      }
+    }
+    expectTrue(probes >= 1 && probes <= 4, "at most four in a second");
+  }
+
+  void resetsNothingWithoutTwoFailedProbes() {
+    property("whatever packets and probes, a reset follows two failures", [] {
+      Doubtful instance;
+      auto steps =
+          *rc::gen::container<std::vector<int>>(rc::gen::inRange<int>(0, 6));
+      int failed = 0;
+      for (int it : steps) {
+        Actions actions;
+        if (it == 0) {
+          actions = instance.probeEnds(ProbeOutcome::Failed);
+          ++failed;
+        } else if (it == 1) {
+          actions = instance.probeEnds(ProbeOutcome::Reached);
+          failed = 0;
+        } else if (it == 2) {
+          actions = instance.packet(instance.Waiting.ack(++instance.Count));
+          failed = 0;
+        } else if (it == 3) {
+          instance.otherAnswers();
+        } else if (it == 4) {
+          actions = instance.packet(instance.Waiting.data(1));
+        } else {
+          actions = instance.pass(100ms);
+        }
+        if (!only<ResetFlow>(actions).empty())
+          RC_ASSERT(failed >= 2);
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReachTest);
