--- a/lib/edge/PacketDuty.cpp
+++ b/lib/edge/PacketDuty.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// How long packets wait for the first news after the start: callers send an
+// opening or data again after 200 ms.
+constexpr Duration HoldAtStart = std::chrono::milliseconds(200);
 // Metrics and the ready probe look at figures that are at most this old.
 constexpr Duration PublishEvery = std::chrono::milliseconds(250);
 
@@ -51,17 +54,30 @@
                        FileDescriptor packets, Shared &shared)
     : Frames(framing), Common(shared), Packets(std::move(packets)),
       Core(settings.Core), Batch(Packets.get()), Probes(Events, settings.Ip) {
-  Events.watch(Packets.get(), EPOLLIN, [this](uint32_t) { readPackets(); });
   Common.PacketWakeup.attach(Events);
 }
 
+/// Packets that come before the first news wait in the socket. Dropping them
+/// would cost their callers a retransmission of 200 ms or more, just when all
+/// of them return after an outage; one sees drops for `no_match` right after
+/// the start. Packets that have waited for longer than their callers take to
+/// send them again are worth nothing, so the wait has an end.
+void PacketDuty::beginReading(Time now) {
+  if (Reading || (!Core.serves() && now < HoldUntil))
+    return;
+  Reading = true;
+  Events.watch(Packets.get(), EPOLLIN, [this](uint32_t) { readPackets(); });
+}
+
 void PacketDuty::run() {
+  HoldUntil = steadyNow() + HoldAtStart;
   while (!Common.Ended) {
     Time now = steadyNow();
     Time next = std::min({Core.nextTick(now), PublishAt, Probes.nextAt()});
     Events.wait(std::max(next - now, Duration::zero()));
     now = steadyNow();
     takeNews(now);
+    beginReading(now);
     takeProbes(now);
     if (now >= Core.nextTick(now) || now >= PublishAt)
       tick(now);
--- a/lib/edge/PacketDuty.h
+++ b/lib/edge/PacketDuty.h
@@ -47,6 +47,7 @@
   void run();
 
 private:
+  void beginReading(Time now);
   void readPackets();
   void takeNews(Time now);
   void tick(Time now);
@@ -67,6 +68,9 @@
       Received;
   EdgeStats Stats;
   Time PublishAt;
+  /// Until when packets wait for the first news.
+  Time HoldUntil;
+  bool Reading = false;
 };
 
 } // namespace chicory::edge
