A deciding probe goes out with one to a server that answers

While they passed on a configuration of 350 more routes, their own links of 10 Mbit/s were full for a second; every probe waited behind it, and answers to packets from before still counted as "others answer".

Ruled out: dead servers (their registrations went on), a pause of the process (no stood_still line).

Change: the second probe, which decides, is sent together with one to the server that showed life last, and counts only if that one is answered in half of the time.

Test: ReachTest::takesASlowLinkForItsOwnFault.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -139,8 +139,9 @@
 
   void doubt(BackendIndex i, Time now, Actions &actions);
   void probe(BackendIndex i, Time now, Actions &actions);
-  bool othersAnswered(BackendIndex i, Time since) const;
-  bool knownUnreachable(const Backend &backend, Time now) const;
+  void sendProbe(BackendIndex i, Time now, Actions &actions);
+  BackendIndex lastToAnswer(BackendIndex i) const;
+  bool linkWorked(BackendIndex i) const;
   bool resetUnreachable(const FlowPacket &head, BackendIndex i, Time now,
                         Actions &actions);
   void resetRequestsOf(BackendIndex i, Time now, Actions &actions);
--- a/include/chicorybank/token/Reach.h
+++ b/include/chicorybank/token/Reach.h
@@ -6,6 +6,11 @@
 // and resetting its flows would break what was well; but a slow server still
 // accepts connections. So silence leads to a probe, which is a connection that
 // is opened and closed again, and only probes that fail lead to resets.
+//
+// A full link of this instance's own makes every probe fail. One would notice
+// resets of flows whose servers serve. So the deciding probe goes out together
+// with one to a server that answered lately, and counts only if that one is
+// answered, and in half of the time.
 
 #ifndef CHICORYBANK_TOKEN_REACH_H
 #define CHICORYBANK_TOKEN_REACH_H
@@ -19,9 +24,9 @@
   /// A probe without an answer fails after this time, at least: some twenty
   /// round trips between zones. On a slow link it is four handshakes.
   Duration Timeout = std::chrono::milliseconds(40);
-  /// Failures in a row that make a server unreachable: one may be a lost
-  /// packet. The second probe waits twice as long.
-  uint32_t Conclusive = 2;
+  /// The deciding probe comes after one that failed, since that may have been a
+  /// lost packet, and waits for so many times as long.
+  int DecidingFactor = 2;
   /// A server that answered is not asked again for this long.
   Duration Every = std::chrono::milliseconds(250);
   /// A failure is believed for this long. A server that was cut off is back
@@ -37,14 +42,17 @@
 /// What probes have shown of one backend server.
 struct Reach {
   bool Probing = false;
-  /// Probes in a row that failed.
-  uint32_t Failed = 0;
-  /// When the first probe of that row was sent, and the last one.
+  /// The last probe failed, so the next one decides.
+  bool Failed = false;
+  /// When the first probe of a row was sent, and the last one.
   Time RowBeganAt;
   Time SentAt;
+  Duration Timeout = Duration::zero();
   /// When a probe last failed or was last answered.
   Time FailedAt;
   Time ReachedAt;
+  /// Until when the server is believed to be unreachable.
+  Time UnreachableUntil;
 };
 
 } // namespace chicory::token
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -3,6 +3,7 @@
 #include "chicorybank/token/Core.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicory::token {
 
@@ -22,20 +23,48 @@
     probe(i, now, actions);
 }
 
+/// Probes a server. Where the probe decides, one to a server that answered
+/// lately goes out with it.
 void Core::probe(BackendIndex i, Time now, Actions &actions) {
-  Backend &backend = Servers.at(i);
-  Reach &reach = backend.Probes;
-  if (reach.Failed == 0)
+  Reach &reach = Servers.at(i).Probes;
+  if (!reach.Failed)
     reach.RowBeganAt = now;
-  reach.Probing = true;
-  reach.SentAt = now;
-  ++Stats.Probes;
-  Duration timeout =
+  reach.Timeout =
       std::max(Options.Reaching.Timeout, Handshake * HandshakesInTimeout);
-  actions.emplace_back(
-      ProbeBackend{.Id = backend.Info.Id,
-                   .Where = backend.Info.Where,
-                   .Timeout = reach.Failed == 0 ? timeout : timeout * 2});
+  if (reach.Failed) {
+    reach.Timeout *= Options.Reaching.DecidingFactor;
+    BackendIndex other = lastToAnswer(i);
+    if (other != NoBackend && !Servers.at(other).Probes.Probing) {
+      Servers.at(other).Probes.Timeout = reach.Timeout;
+      sendProbe(other, now, actions);
+    }
+  }
+  sendProbe(i, now, actions);
+}
+
+void Core::sendProbe(BackendIndex i, Time now, Actions &actions) {
+  Backend &backend = Servers.at(i);
+  backend.Probes.Probing = true;
+  backend.Probes.SentAt = now;
+  ++Stats.Probes;
+  actions.emplace_back(ProbeBackend{.Id = backend.Info.Id,
+                                    .Where = backend.Info.Where,
+                                    .Timeout = backend.Probes.Timeout});
+}
+
+/// The server, other than `i`, that showed life last and is not in doubt.
+BackendIndex Core::lastToAnswer(BackendIndex i) const {
+  BackendIndex out = NoBackend;
+  Time newest;
+  for (BackendIndex other = 0; other < Servers.limit(); ++other) {
+    const Backend &it = Servers.at(other);
+    Time answered = std::max(it.LastProgress, it.Probes.ReachedAt);
+    if (other == i || it.Probes.Failed || answered <= newest)
+      continue;
+    newest = answered;
+    out = other;
+  }
+  return out;
 }
 
 void Core::on(const ProbeEnded &event, Time now, Actions &actions) {
@@ -46,7 +75,7 @@
   Reach &reach = backend.Probes;
   reach.Probing = false;
   if (event.Outcome == ProbeOutcome::Reached) {
-    reach.Failed = 0;
+    reach.Failed = false;
     reach.ReachedAt = now;
     return;
   }
@@ -54,42 +83,39 @@
   if (event.Outcome == ProbeOutcome::NotTried || reach.SentAt < ResumedAt)
     return;
   ++Stats.ProbesFailed;
+  reach.FailedAt = now;
   // Its answers go to callers directly, so they may show life all the same.
   if (backend.LastProgress >= reach.RowBeganAt) {
-    reach.Failed = 0;
+    reach.Failed = false;
     return;
   }
-  ++reach.Failed;
-  reach.FailedAt = now;
   suspect(i, now, actions);
-  if (reach.Failed < Options.Reaching.Conclusive)
+  bool decides = std::exchange(reach.Failed, true);
+  if (!decides)
     return probe(i, now, actions);
+  if (!linkWorked(i))
+    return;
+  reach.UnreachableUntil = now + Options.Reaching.BelieveFor;
   decided({.What = "backend_unreachable",
            .Why = Reason::BackendUnreachable,
            .Backend = backend.Info.Id},
           now, actions);
-  if (knownUnreachable(backend, now))
-    resetRequestsOf(i, now, actions);
+  resetRequestsOf(i, now, actions);
 }
 
-/// Where nobody answers, the fault is this instance's own link.
-bool Core::othersAnswered(BackendIndex i, Time since) const {
+/// While the last probe of a server was under way, a probe of another one was
+/// answered, and quickly.
+bool Core::linkWorked(BackendIndex i) const {
+  const Reach &reach = Servers.at(i).Probes;
+  Time soon = reach.SentAt + reach.Timeout / Options.Reaching.DecidingFactor;
   for (BackendIndex other = 0; other < Servers.limit(); ++other) {
-    const Backend &it = Servers.at(other);
-    if (other != i && it.Info.Id.Value != 0 &&
-        std::max(it.LastProgress, it.Probes.ReachedAt) >= since)
+    Time reached = Servers.at(other).Probes.ReachedAt;
+    if (other != i && reached >= reach.SentAt && reached <= soon)
       return true;
   }
   return false;
 }
 
-bool Core::knownUnreachable(const Backend &backend, Time now) const {
-  const Reach &reach = backend.Probes;
-  return reach.Failed >= Options.Reaching.Conclusive &&
-         now - reach.FailedAt < Options.Reaching.BelieveFor &&
-         othersAnswered(Servers.find(backend.Info.Id), reach.RowBeganAt);
-}
-
 /// A request for a server that can't be reached: its caller is told at once, if
 /// it may ask again. Returns true where that was done.
 ///
@@ -97,14 +123,13 @@
 /// served, and if not, its caller could not have repeated it anyway.
 bool Core::resetUnreachable(const FlowPacket &head, BackendIndex i, Time now,
                             Actions &actions) {
-  const Backend &backend = Servers.at(i);
-  if (backend.Probes.Failed < Options.Reaching.Conclusive)
+  const Reach &reach = Servers.at(i).Probes;
+  if (!reach.Failed)
     return false;
   doubt(i, now, actions);
   const Route *route = Routes.find(head.Route);
   bool request = head.DataBytes != 0 && !head.Finish && !head.Reset;
-  if (!request || !route || !route->Idempotent ||
-      !knownUnreachable(backend, now))
+  if (!request || !route || !route->Idempotent || now >= reach.UnreachableUntil)
     return false;
   forget(head.key());
   reset(head, Reason::BackendUnreachable, i, now, actions);
