News in several datagrams, a history as long as the list, lists beside watches

Pushes above 1,200 bytes were read over TCP by eight children at once, which timed out (news_pull_failed in bursts); a failed read led nowhere until patience ended; and each eight seconds the one that watches listed seven pages without a watch, so the news of all 300 was stale for one to two seconds.

Change: pushes of up to 16 datagrams; a read that fails asks the registry at once; the history holds a change of each item; lists go a page at a time between watches; the ranks behind the first ask half a pace apart earlier. The test of the last found that a page of a list brought a key back which had ended meanwhile: mended.

--- a/include/chicorybank/edge/Mirror.h
+++ b/include/chicorybank/edge/Mirror.h
@@ -48,14 +48,18 @@
     uint64_t Digest = 0;
   };
   /// A change and the revision of the page that brought it. That may be later
-  /// than the item's own: a list finds changes that a watch has missed.
+  /// than the item's own: a list finds changes that a watch has missed. The
+  /// value stands in `Items`, unless the key has ended.
   struct Past {
-    Item What;
+    std::string Key;
     int64_t LearnedAt = 0;
+    int64_t EndedAt = 0;
   };
   void take(const Item &item, const ItemPage &page, Findings &findings,
             std::vector<Change> &out);
   void note(const Item &item, int64_t learnedAt);
+  size_t historyLimit() const;
+  bool endedAfter(const Item &item) const;
 
   const RegistryDialect &Dialect;
   int64_t Revision = 0;
--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -9,7 +9,8 @@
 //   registry's revision is still the copy's; a later one means that the watch
 //   has skipped changes, and everything is listed again;
 // - the end of a registration is told once, so everything is listed now and
-//   then all the same;
+//   then all the same, a page between two watches: a large list in one go would
+//   hold up the news of all instances for seconds;
 // - a connection that went silent ends by its time limit;
 // - two copies at one revision with different checksums: one of them missed a
 //   change, and only the registry can tell which: listed again.
@@ -100,6 +101,9 @@
   /// What was read from another instance.
   void takePull(const ItemPage &page, bool whole,
                 std::vector<token::Event> &out);
+  /// The changes that a push told of could not be read from its sender, so the
+  /// registry is asked for them at once.
+  void pullFailed() { AskNow = true; }
   /// A push with the changes behind a revision.
   NewsPush push(InstanceId self, int64_t since, Time now) const;
   /// The process or its machine stood still: what it believes may be old.
@@ -119,13 +123,17 @@
 private:
   enum class Phase : uint8_t { Listing, Watching };
 
-  void takeList(const ItemPage &page, Time now, std::vector<token::Event> &out);
+  /// Takes a page of a list. True: it was the last.
+  bool takeList(const ItemPage &page, Time now, std::vector<token::Event> &out);
   void takeChanges(const ItemPage &page, Time now,
                    std::vector<token::Event> &out);
   void failed(int status, Time now);
   void showCurrent(Time at, std::vector<token::Event> &out);
   void tell(std::vector<Change> changes, std::vector<token::Event> &out);
   void startList(Time at);
+  bool pageIsNext() const {
+    return State == Phase::Listing || (Reviewing && !AskNow && PageTurn);
+  }
   /// This instance is the one that watches.
   bool watches() const { return Patience <= Times.Pace; }
 
@@ -136,12 +144,21 @@
   Phase State = Phase::Listing;
   bool Waiting = false;
   bool Complete = false;
+  /// Everything is being listed beside the watch, and whether a page of that
+  /// comes before the next watch.
+  bool Reviewing = false;
+  bool PageTurn = false;
+  /// What was asked last.
+  bool AskedForPage = false;
   Duration Patience;
   Duration RetryMost;
   Duration Retry;
+  /// There are changes that nobody else could give.
+  bool AskNow = false;
   /// Not before; set by back-off.
   Time DueAt;
   Time SentAt;
+  Time WatchedAt;
   Time LastList;
   /// As of when the copy is known to be current.
   Time CurrentAt = Time{} - std::chrono::hours(1);
--- a/include/chicorybank/edge/PeerMessages.h
+++ b/include/chicorybank/edge/PeerMessages.h
@@ -12,6 +12,8 @@
 #include <span>
 #include <string>
 #include <tl/expected.hpp>
+#include <variant>
+#include <vector>
 
 namespace chicory::edge {
 
@@ -29,13 +31,37 @@
   bool Complete = true;
 };
 
+/// One piece of a push that does not fit into a datagram.
+struct Fragment {
+  InstanceId Sender;
+  /// Which of the sender's messages it is a piece of.
+  uint64_t Message = 0;
+  uint32_t Index = 0;
+  uint32_t Count = 1;
+  std::string Bytes;
+};
+
+using PeerMessage = std::variant<NewsPush, Fragment>;
+
 /// A message that fits into this many bytes is one datagram on any link.
 inline constexpr size_t MaxPeerMessage = 1200;
+/// Bytes of a push in one fragment; the rest of the datagram is its head.
+inline constexpr size_t FragmentBytes = 1150;
+/// A push of more pieces is read over TCP: the loss of any piece loses it all,
+/// and eight receivers get each.
+inline constexpr size_t MaxFragments = 16;
 
-/// Encodes a push. Leaves the items out where they would not fit.
-std::string encodePush(const NewsPush &push);
+/// Encodes a push. Leaves the items out where they would make it larger than
+/// `most`.
+std::string encodePush(const NewsPush &push, size_t most = MaxPeerMessage);
 tl::expected<NewsPush, Reason> decodePush(std::span<const char> bytes);
 
+/// Encodes a push as one datagram or several. `message` tells the sender's
+/// messages apart.
+std::vector<std::string> encodeDatagrams(const NewsPush &push,
+                                         uint64_t message);
+tl::expected<PeerMessage, Reason> decodeDatagram(std::span<const char> bytes);
+
 } // namespace chicory::edge
 
 #endif
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 // An instance that was silent for longer than some twenty seconds of changes
-// reads everything anew.
+// reads everything anew. Where there are more items than that, the history
+// holds one change of each: all of them may register anew within a second.
 constexpr size_t HistoryItems = 512;
 
 bool sameMeaning(const News &a, const News &b) {
@@ -49,19 +50,34 @@
 } // namespace
 
 void Mirror::note(const Item &item, int64_t learnedAt) {
-  History.push_back({.What = item, .LearnedAt = learnedAt});
-  if (History.size() <= HistoryItems)
+  History.push_back({.Key = item.Key,
+                     .LearnedAt = learnedAt,
+                     .EndedAt = item.Deleted ? item.Revision : 0});
+  if (History.size() <= historyLimit())
     return;
   HistoryFrom = std::max(HistoryFrom, History.front().LearnedAt);
   History.pop_front();
 }
 
+/// A page of a list may be older than what a watch or a push told meanwhile:
+/// an item in it may have ended since.
+bool Mirror::endedAfter(const Item &item) const {
+  return std::any_of(History.begin(), History.end(), [&](const Past &it) {
+    return it.EndedAt > item.Revision && it.Key == item.Key;
+  });
+}
+
+size_t Mirror::historyLimit() const {
+  return std::max(HistoryItems, Items.size());
+}
+
 void Mirror::take(const Item &item, const ItemPage &page, Findings &findings,
                   std::vector<Change> &out) {
   auto it = Items.find(item.Key);
   if (it != Items.end() && item.Revision <= it->second.What.Revision)
     return;
-  if (it == Items.end() && item.Revision <= Revision && item.Deleted)
+  if (it == Items.end() && item.Revision <= Revision &&
+      (item.Deleted || endedAfter(item)))
     return;
   News news = Dialect.translate(item, findings);
   if (item.Deleted) {
@@ -121,9 +137,19 @@
   if (revision < HistoryFrom || Revision == 0)
     return std::nullopt;
   ItemPage out{.Revision = Revision};
-  for (const Past &it : History)
-    if (it.LearnedAt > revision)
-      out.Items.push_back(it.What);
+  std::unordered_set<std::string_view> told;
+  // The newest change of each key; an item as it is now covers all of them.
+  for (auto it = History.rbegin(); it != History.rend(); ++it) {
+    if (it->LearnedAt <= revision || !told.insert(it->Key).second)
+      continue;
+    auto item = Items.find(it->Key);
+    if (item != Items.end())
+      out.Items.push_back(item->second.What);
+    else
+      out.Items.push_back(
+          {.Key = it->Key, .Revision = it->EndedAt, .Deleted = true});
+  }
+  std::reverse(out.Items.begin(), out.Items.end());
   return out;
 }
 
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -150,14 +150,27 @@
     ssize_t size = ::recv(Socket.get(), buf.data(), buf.size(), MSG_DONTWAIT);
     if (size < 0)
       return;
-    auto push = decodePush({buf.data(), static_cast<size_t>(size)});
-    if (push)
+    auto message = decodeDatagram({buf.data(), static_cast<size_t>(size)});
+    if (!message)
+      ++Traffic.Bad;
+    else if (auto *push = std::get_if<NewsPush>(&*message))
       takePush(*push, now);
     else
-      ++Traffic.Bad;
+      takeFragment(std::move(std::get<Fragment>(*message)), now);
   }
 }
 
+void NewsDuty::takeFragment(Fragment fragment, Time now) {
+  std::optional<std::string> bytes = Fragments.take(std::move(fragment));
+  if (!bytes)
+    return;
+  auto push = decodePush(*bytes);
+  if (push)
+    takePush(*push, now);
+  else
+    ++Traffic.Bad;
+}
+
 void NewsDuty::takePush(const NewsPush &push, Time now) {
   Time before = Reader.currentAt();
   std::vector<token::Event> news;
@@ -179,15 +192,18 @@
   PushedAsOf = Reader.currentAt();
   if (targets.empty())
     return;
-  std::string bytes = encodePush(push);
-  for (Address it : targets) {
-    sockaddr_in to = toSockaddr(it);
-    ssize_t n = ::sendto(Socket.get(), bytes.data(), bytes.size(), MSG_DONTWAIT,
-                         reinterpret_cast<sockaddr *>(&to), sizeof(to));
-    ++Traffic.Messages;
-    if (n > 0)
-      Traffic.Bytes += static_cast<uint64_t>(n);
-  }
+  for (const std::string &bytes : encodeDatagrams(push, ++MessagesSent))
+    for (Address it : targets)
+      send(bytes, it);
+}
+
+void NewsDuty::send(const std::string &bytes, Address target) {
+  sockaddr_in to = toSockaddr(target);
+  ssize_t n = ::sendto(Socket.get(), bytes.data(), bytes.size(), MSG_DONTWAIT,
+                       reinterpret_cast<sockaddr *>(&to), sizeof(to));
+  ++Traffic.Messages;
+  if (n > 0)
+    Traffic.Bytes += static_cast<uint64_t>(n);
 }
 
 void NewsDuty::pull(InstanceId from, bool whole) {
@@ -210,17 +226,21 @@
 
 void NewsDuty::takePulled(const HttpClient::Result &result, InstanceId from,
                           bool whole) {
-  if (!result)
+  if (!result) {
+    Reader.pullFailed();
     return Lines.write(LogLine("news_pull_failed")
                            .with("peer", formatIp(from.Value))
                            .with("why", httpFailureName(result.error())));
+  }
   if (result->Status == HttpGone && !whole)
     return pull(from, true);
   auto page = Dialect.readPage(result->Body);
-  if (result->Status != HttpOk || !page)
+  if (result->Status != HttpOk || !page) {
+    Reader.pullFailed();
     return Lines.write(LogLine("news_pull_failed")
                            .with("peer", formatIp(from.Value))
                            .with("status", result->Status));
+  }
   Time now = steadyNow();
   std::vector<token::Event> news;
   Reader.takePull(*page, whole, news);
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -9,6 +9,7 @@
 #include "Shared.h"
 
 #include "chicorybank/edge/Announcer.h"
+#include "chicorybank/edge/FragmentAssembler.h"
 #include "chicorybank/edge/NewsSpread.h"
 #include "chicorybank/edge/Settings.h"
 
@@ -50,10 +51,12 @@
   void takeAnswer(const HttpClient::Result &result);
   void readPushes();
   void takePush(const NewsPush &push, Time now);
+  void takeFragment(Fragment fragment, Time now);
   void pull(InstanceId from, bool whole);
   void takePulled(const HttpClient::Result &result, InstanceId from,
                   bool whole);
   void sendPush(bool asked, Time now);
+  void send(const std::string &bytes, Address target);
   void tell(std::vector<token::Event> news, Time now);
   void passNews();
   void noteRegistry(Time now);
@@ -82,6 +85,8 @@
   bool Away = false;
   bool Leaving = false;
   PeerStats Traffic;
+  FragmentAssembler Fragments;
+  uint64_t MessagesSent = 0;
 };
 
 } // namespace chicory::edge
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -20,10 +20,10 @@
 Time NewsReader::nextAt() const {
   if (Waiting)
     return Time::max();
-  if (State == Phase::Listing)
+  if (AskNow || pageIsNext())
     return DueAt;
   if (watches())
-    return std::max(DueAt, SentAt + Times.Pace);
+    return std::max(DueAt, WatchedAt + Times.Pace);
   return std::max(DueAt, CurrentAt + Patience);
 }
 
@@ -31,9 +31,14 @@
   if (now < nextAt())
     return std::nullopt;
   Waiting = true;
+  AskedForPage = pageIsNext();
+  AskNow = false;
   SentAt = now;
   ++Stats.Calls;
-  if (State == Phase::Watching)
+  // A whole list shows as much as a watch does.
+  if (!AskedForPage || State == Phase::Listing)
+    WatchedAt = now;
+  if (!AskedForPage)
     return NewsCall{.Call = Dialect.watch(Copy.revision(), Times.Pace),
                     .Timeout = Times.Pace + Times.CallTimeout};
   if (After.empty()) {
@@ -49,6 +54,7 @@
 bool NewsReader::answered(const NewsAnswer &answer, Time now,
                           std::vector<token::Event> &out) {
   Waiting = false;
+  PageTurn = !AskedForPage;
   if (answer.Status == HttpGone) {
     // The history behind our revision is dropped.
     startList(now);
@@ -67,10 +73,9 @@
   }
   Retry = Times.RetryLeast;
   DueAt = now;
-  if (State == Phase::Listing)
-    takeList(*page, now, out);
-  else
-    takeChanges(*page, now, out);
+  if (AskedForPage)
+    return takeList(*page, now, out);
+  takeChanges(*page, now, out);
   return State == Phase::Watching;
 }
 
@@ -82,12 +87,13 @@
   DueAt = now + std::chrono::duration_cast<Duration>(Retry * jitter(Random));
   Retry = std::min(Retry * 2, RetryMost);
   // A watch that was cut may have missed changes before its history went.
-  if (State == Phase::Watching && status == 0)
+  if (!AskedForPage && status == 0)
     startList(DueAt);
 }
 
 void NewsReader::startList(Time at) {
   State = Phase::Listing;
+  Reviewing = false;
   After.clear();
   DueAt = at;
 }
@@ -99,7 +105,7 @@
   out.emplace_back(token::NewsChecked{.CurrentAt = at});
 }
 
-void NewsReader::takeList(const ItemPage &page, Time now,
+bool NewsReader::takeList(const ItemPage &page, Time now,
                           std::vector<token::Event> &out) {
   // Pages are no snapshot: changes between them are seen by the watch, which
   // starts at the first page's revision.
@@ -108,7 +114,7 @@
   Pages.Items.insert(Pages.Items.end(), page.Items.begin(), page.Items.end());
   if (page.More && !page.Items.empty()) {
     After = page.Items.back().Key;
-    return;
+    return false;
   }
   tell(Copy.replaceAll(Pages, Faults), out);
   showCurrent(ListStartedAt, out);
@@ -118,7 +124,9 @@
   After.clear();
   Complete = true;
   LastList = now;
+  Reviewing = false;
   State = Phase::Watching;
+  return true;
 }
 
 void NewsReader::takeChanges(const ItemPage &page, Time now,
@@ -133,8 +141,10 @@
   // The registry answers without changes when the wait is over, not before;
   // with changes it may have answered at once.
   showCurrent(silent ? std::min(SentAt + Times.Pace, now) : SentAt, out);
-  if (watches() && now - LastList >= Times.RelistEvery)
-    startList(now);
+  bool review = watches() && (Reviewing || now - LastList >= Times.RelistEvery);
+  if (!review || !Reviewing)
+    After.clear();
+  Reviewing = review;
 }
 
 void NewsReader::doubtAll(Time now) {
--- a/lib/edge/NewsSpread.cpp
+++ b/lib/edge/NewsSpread.cpp
@@ -12,7 +12,7 @@
 // the others. Steps are wide enough for a call and a push between them.
 constexpr double ZoneStep = 0.5;
 constexpr double OthersFrom = 2.0;
-constexpr double RankStep = 0.5;
+constexpr double RankStep = 0.25;
 constexpr size_t RanksApart = 4;
 constexpr double SpreadOfRest = 0.5;
 // Whatever the place, a change has to be asked for in time to apply it.
--- a/lib/edge/PeerMessages.cpp
+++ b/lib/edge/PeerMessages.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr uint64_t FormatVersion = 1;
-enum class Kind : uint8_t { News = 1 };
+enum class Kind : uint8_t { News = 1, Fragment = 2 };
 
 /// Writes MessagePack values.
 class Packer {
@@ -99,10 +99,10 @@
   bool Ok = true;
 };
 
-/// Parses bytes and lets `read` read the outer array.
+/// Parses bytes and lets `read` read the rest of the outer array, which depends
+/// on the message's kind.
 template <typename Message, typename Read>
-tl::expected<Message, Reason> decode(std::span<const char> bytes, Kind kind,
-                                     Read read) {
+tl::expected<Message, Reason> decode(std::span<const char> bytes, Read read) {
   std::unique_ptr<msgpack_zone, decltype(&msgpack_zone_free)> zone(
       msgpack_zone_new(MSGPACK_ZONE_CHUNK_SIZE), &msgpack_zone_free);
   msgpack_object object{};
@@ -114,8 +114,7 @@
   Unpacker in(object);
   if (in.number() != FormatVersion)
     return tl::make_unexpected(Reason::BadVersion);
-  in.require(in.number() == static_cast<uint64_t>(kind));
-  Message out = read(in);
+  Message out = read(in, in.number());
   if (!in.done())
     return tl::make_unexpected(Reason::BadPeerMessage);
   return out;
@@ -154,36 +153,79 @@
   return out.take();
 }
 
+NewsPush readPush(Unpacker &in) {
+  NewsPush out{.Sender = readInstance(in)};
+  uint64_t age = in.number();
+  // A day: older news is as good as none, and must not overflow.
+  constexpr uint64_t Most = 86'400'000'000;
+  in.require(age <= Most);
+  out.Age = Duration(static_cast<int64_t>(std::min(age, Most)));
+  out.Base = readRevision(in);
+  out.Page.Revision = readRevision(in);
+  out.Digest = in.number();
+  out.Complete = in.flag();
+  for (const msgpack_object &it : in.list()) {
+    Unpacker item(it);
+    Item read{.Key = item.text(),
+              .Revision = readRevision(item),
+              .Created = readRevision(item)};
+    read.Deleted = item.flag();
+    read.Value = item.text();
+    in.require(item.done());
+    out.Page.Items.push_back(std::move(read));
+  }
+  return out;
+}
+
+Fragment readFragment(Unpacker &in) {
+  Fragment out{.Sender = readInstance(in), .Message = in.number()};
+  uint64_t index = in.number();
+  uint64_t count = in.number();
+  in.require(index < count && count <= MaxFragments);
+  out.Index = static_cast<uint32_t>(std::min<uint64_t>(index, MaxFragments));
+  out.Count = static_cast<uint32_t>(std::min<uint64_t>(count, MaxFragments));
+  out.Bytes = in.text();
+  return out;
+}
+
 } // namespace
 
-std::string encodePush(const NewsPush &push) {
+std::string encodePush(const NewsPush &push, size_t most) {
   std::string out = packPush(push, true);
-  return out.size() <= MaxPeerMessage ? out : packPush(push, false);
+  return out.size() <= most ? out : packPush(push, false);
 }
 
 tl::expected<NewsPush, Reason> decodePush(std::span<const char> bytes) {
-  return decode<NewsPush>(bytes, Kind::News, [](Unpacker &in) {
-    NewsPush out{.Sender = readInstance(in)};
-    uint64_t age = in.number();
-    // A day: older news is as good as none, and must not overflow.
-    constexpr uint64_t Most = 86'400'000'000;
-    in.require(age <= Most);
-    out.Age = Duration(static_cast<int64_t>(std::min(age, Most)));
-    out.Base = readRevision(in);
-    out.Page.Revision = readRevision(in);
-    out.Digest = in.number();
-    out.Complete = in.flag();
-    for (const msgpack_object &it : in.list()) {
-      Unpacker item(it);
-      Item read{.Key = item.text(),
-                .Revision = readRevision(item),
-                .Created = readRevision(item)};
-      read.Deleted = item.flag();
-      read.Value = item.text();
-      in.require(item.done());
-      out.Page.Items.push_back(std::move(read));
-    }
-    return out;
+  return decode<NewsPush>(bytes, [](Unpacker &in, uint64_t kind) {
+    in.require(kind == static_cast<uint64_t>(Kind::News));
+    return readPush(in);
+  });
+}
+
+std::vector<std::string> encodeDatagrams(const NewsPush &push,
+                                         uint64_t message) {
+  std::string bytes = encodePush(push, FragmentBytes * MaxFragments);
+  if (bytes.size() <= MaxPeerMessage)
+    return {std::move(bytes)};
+  std::vector<std::string> out;
+  size_t count = (bytes.size() + FragmentBytes - 1) / FragmentBytes;
+  for (size_t n = 0; n < count; ++n) {
+    Packer one;
+    one.list(7).number(FormatVersion);
+    one.number(static_cast<uint64_t>(Kind::Fragment));
+    one.number(push.Sender.Value).number(message).number(n).number(count);
+    one.text(bytes.substr(n * FragmentBytes, FragmentBytes));
+    out.push_back(one.take());
+  }
+  return out;
+}
+
+tl::expected<PeerMessage, Reason> decodeDatagram(std::span<const char> bytes) {
+  return decode<PeerMessage>(bytes, [](Unpacker &in, uint64_t kind) {
+    if (kind == static_cast<uint64_t>(Kind::Fragment))
+      return PeerMessage(readFragment(in));
+    in.require(kind == static_cast<uint64_t>(Kind::News));
+    return PeerMessage(readPush(in));
   });
 }
 
--- a/tests/MirrorTest.cpp
+++ b/tests/MirrorTest.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(ignoresWhatIsOlder);
   CPPUNIT_TEST(passesOnWhatAListFound);
   CPPUNIT_TEST(hasAGapOnlyWhereHistoryIsMissing);
+  CPPUNIT_TEST(reachesBackOverAllItemsOfALargeFleet);
+  CPPUNIT_TEST(tellsEachKeyOnce);
   CPPUNIT_TEST(hasOneChecksumForOneContent);
   CPPUNIT_TEST_SUITE_END();
 
@@ -87,6 +89,45 @@
     expectTrue(!copy.since(1), "the history is bounded");
   }
 
+  // Symptom: eight instances at a time read a megabyte from one, which takes it
+  // half a second, and none of them learns a new configuration in time.
+  // Sequence: thousands of items come into being within a second.
+  // Cause: a history for fewer changes than there are items.
+  void reachesBackOverAllItemsOfALargeFleet() {
+    Store store;
+    store.config(1);
+    Mirror copy(Dialect);
+    Findings findings;
+    copy.replaceAll(store.list(), findings);
+    for (int n = 0; n < 2000; ++n)
+      store.instance("10.0." + std::to_string(n / 200) + "." +
+                     std::to_string(n % 200));
+    copy.apply(store.since(1), findings);
+    auto page = copy.since(1);
+    expectTrue(page && page->Items.size() == 2000, "all of them");
+  }
+
+  void tellsEachKeyOnce() {
+    Store store;
+    store.server(1);
+    store.server(2);
+    Mirror copy(Dialect);
+    Findings findings;
+    copy.replaceAll(store.list(), findings);
+    int64_t before = store.revision();
+    store.server(1, "draining");
+    store.remove("servers/i-1");
+    store.server(2, "draining");
+    store.server(2);
+    copy.apply(store.since(before), findings);
+    auto page = copy.since(before);
+    expectTrue(page && page->Items.size() == 2, "two keys");
+    expectTrue(page->Items[0].Key == "servers/i-1" && page->Items[0].Deleted,
+               "one has ended");
+    expectTrue(page->Items[1].Revision == store.revision(),
+               "the other as it is now");
+  }
+
   void hasOneChecksumForOneContent() {
     property("whatever the order of changes", [] {
       auto ids = *rc::gen::container<std::vector<uint64_t>>(
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -16,9 +16,11 @@
   CPPUNIT_TEST(listsAgainWhenTheHistoryIsGone);
   CPPUNIT_TEST(listsAgainWhenAWatchWasCut);
   CPPUNIT_TEST(listsEverythingNowAndThen);
+  CPPUNIT_TEST(goesOnWatchingWhileItLists);
   CPPUNIT_TEST(takesAnUnchangedRevisionForCurrent);
   CPPUNIT_TEST(listsAgainWhenCopiesDiffer);
   CPPUNIT_TEST(asksASenderForWhatDidNotFit);
+  CPPUNIT_TEST(asksTheRegistryWhenASenderCannotTell);
   CPPUNIT_TEST(takesALatePushForNoProof);
   CPPUNIT_TEST(backsOffFromAFailingRegistry);
   CPPUNIT_TEST(leavesOutMereRenewals);
@@ -141,6 +143,52 @@
                "every eight seconds of 50: " + std::to_string(lists));
   }
 
+  // Symptom: every eight seconds the news of 300 instances is stale for a
+  // second or two.
+  // Sequence: the one that watches lists 3,000 servers in seven pages.
+  // Cause: no watch until the list was whole.
+  void goesOnWatchingWhileItLists() {
+    Store store;
+    store.server(1);
+    store.server(2);
+    Reading reading;
+    reading.step(store);
+    reading.Now += 9s;
+    reading.step(store);
+    section(
+        "a page of the list is due, and a change comes with the watch", [&] {
+          auto page = reading.Reader.next(reading.Now);
+          expectTrue(page && page->Call.Target == "/-/kv-range?prefix=",
+                     "the first page");
+          ItemPage first = store.list();
+          first.Items.resize(1);
+          first.More = true;
+          reading.answer(
+              {.Status = Ok, .Body = reading.Dialect.writePage(first)});
+          store.config(5);
+          store.remove("servers/i-1");
+          reading.Now += 500ms;
+          expectTrue(reading.step(store).starts_with("/-/kv-watch"), "a watch");
+          expectTrue(
+              reading.take<token::RoutesLearned>().back().Routes.Version ==
+                  RuleVersion{5},
+              "its change is known");
+        });
+    section("the list goes on and finds nothing wrong", [&] {
+      auto page = reading.Reader.next(reading.Now);
+      expectTrue(page && page->Call.Target ==
+                             "/-/kv-range?prefix=&after=servers/i-1",
+                 "the second page");
+      ItemPage second = store.list();
+      std::erase_if(second.Items,
+                    [](const Item &it) { return it.Key != "servers/i-2"; });
+      reading.answer({.Status = Ok, .Body = reading.Dialect.writePage(second)});
+      expectTrue(reading.take<token::BackendsLearned>().empty(), "no change");
+      expectTrue(reading.Reader.mirror().whole().Items.size() == 2,
+                 "the configuration, which came after its page, and a server");
+    });
+  }
+
   // The registry's answer without changes is proof of current news for the
   // whole time that it waited.
   void takesAnUnchangedRevisionForCurrent() {
@@ -222,6 +270,28 @@
         "a gap before the changes");
   }
 
+  // Symptom: an instance of a large fleet serves an old configuration for five
+  // seconds.
+  // Sequence: a push says that there are changes; its sender, asked by many at
+  // once, does not answer in time; patience is counted from the last news.
+  // Cause: nothing but patience led to the registry.
+  void asksTheRegistryWhenASenderCannotTell() {
+    Store store;
+    store.server(1);
+    Reading reading;
+    reading.step(store);
+    reading.Reader.setPatience(10s, 1s);
+    reading.Now += 100ms;
+    expectEqual<std::string>("", reading.step(store));
+    store.config(7);
+    reading.Reader.pullFailed();
+    expectTrue(!reading.step(store).empty(), "it asks at once");
+    expectTrue(reading.take<token::RoutesLearned>().back().Routes.Version ==
+                   RuleVersion{7},
+               "and knows the change");
+    expectEqual<std::string>("", reading.step(store));
+  }
+
   // Symptom: a process that was stopped believes to be current.
   // Sequence: it is stopped for seconds; pushes wait in its socket; it goes on.
   // Cause: the age in a push does not count the time in the socket.
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(comesOutAsItWentIn);
   CPPUNIT_TEST(leavesOutWhatDoesNotFit);
   CPPUNIT_TEST(refusesDamagedBytes);
+  CPPUNIT_TEST(splitsWhatIsTooLargeForADatagram);
+  CPPUNIT_TEST(leavesOutWhatNeedsTooManyDatagrams);
+  CPPUNIT_TEST(refusesDamagedFragments);
   CPPUNIT_TEST_SUITE_END();
 
   void comesOutAsItWentIn() {
@@ -51,6 +54,49 @@
     expectEqual<int64_t>(42, out->Page.Revision);
   }
 
+  void splitsWhatIsTooLargeForADatagram() {
+    NewsPush push = sample(5000);
+    auto datagrams = encodeDatagrams(push, 3);
+    expectTrue(datagrams.size() > 1, "several");
+    std::string whole;
+    for (const std::string &it : datagrams) {
+      expectTrue(it.size() <= MaxPeerMessage, "one datagram each");
+      auto message = decodeDatagram(it);
+      expectTrue(message && std::holds_alternative<Fragment>(*message),
+                 "a fragment");
+      whole += std::get<Fragment>(*message).Bytes;
+    }
+    auto out = decodePush(whole);
+    expectTrue(out && out->Complete && out->Page.Items == push.Page.Items,
+               "the items");
+    section("a small push is one datagram, as it is", [] {
+      auto one = encodeDatagrams(sample(10), 4);
+      expectEqual<size_t>(1, one.size());
+      auto message = decodeDatagram(one[0]);
+      expectTrue(message && std::holds_alternative<NewsPush>(*message),
+                 "a push");
+    });
+  }
+
+  void leavesOutWhatNeedsTooManyDatagrams() {
+    auto datagrams = encodeDatagrams(sample(FragmentBytes * MaxFragments), 3);
+    expectEqual<size_t>(1, datagrams.size());
+    auto push = decodePush(datagrams[0]);
+    expectTrue(push && !push->Complete, "the receiver has to ask");
+  }
+
+  void refusesDamagedFragments() {
+    property("any change is read or refused", [] {
+      std::string bytes = encodeDatagrams(sample(3000), 3)[0];
+      auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+      bytes[at] = *rc::gen::arbitrary<char>();
+      auto message = decodeDatagram(bytes);
+      if (message)
+        if (const auto *it = std::get_if<Fragment>(&*message))
+          RC_ASSERT(it->Index < it->Count && it->Count <= MaxFragments);
+    });
+  }
+
   void refusesDamagedBytes() {
     property("cut bytes are refused", [] {
       std::string bytes = encodePush(sample(50));
