Patience with far zones; a bound on unknown flows

A probe's time limit of 40 and 80 ms is shorter than the round trip between far regions, so a slow server there could have been taken for unreachable and its flows reset. And flows with made-up tokens were remembered for a minute without a bound.

Change: the longest round trip to each zone lately sets the least time limit; no server of a zone that was never heard is concluded to be unreachable. 10,000 unknown flows are remembered at most.

Tests: ReachTest::isPatientWithAFarZone, givesUpOnNoZoneThatItNeverHeard; TokenCoreTest::remembersOnlySoManyUnknownFlows.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -18,6 +18,7 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <random>
 
 namespace chicory::token {
@@ -53,6 +54,10 @@
   /// current, belongs to a server that has ended: registrations arrive within
   /// a second.
   Duration UnknownPatience = std::chrono::milliseconds(2500);
+  /// So many flows with unknown tokens are remembered; about a megabyte. Anyone
+  /// can send packets with made-up tokens, and they must not take the memory
+  /// that an instance has. Above it a flow is not reset, only dropped.
+  size_t UnknownMost = 10'000;
 };
 
 /// Counters and gauges of a core. Counters never fall.
@@ -90,6 +95,7 @@
   const RouteTable &routes() const { return Routes; }
   const Backends &backends() const { return Servers; }
   size_t flows() const { return Flows.size(); }
+  size_t unknownFlows() const { return Unknown.size(); }
   Time newsCurrentAt() const { return CurrentAt; }
 
 private:
@@ -142,6 +148,8 @@
   void sendProbe(BackendIndex i, Time now, Actions &actions);
   BackendIndex lastToAnswer(BackendIndex i) const;
   bool linkWorked(BackendIndex i) const;
+  void learnRoundTrip(const std::string &zone, Duration took);
+  Duration roundTrip(const std::string &zone) const;
   bool resetUnreachable(const FlowPacket &head, BackendIndex i, Time now,
                         Actions &actions);
   void resetRequestsOf(BackendIndex i, Time now, Actions &actions);
@@ -202,6 +210,8 @@
   Duration Handshake = Duration::zero();
   /// Smoothed time from a request to the first sign of its answer.
   Duration RequestWait = Duration::zero();
+  /// The longest round trip to each zone's servers lately.
+  std::map<std::string, Duration> RoundTrips;
   /// When this process last went on after standing still.
   Time ResumedAt;
   bool SawBackends = false;
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -161,6 +161,8 @@
 void Core::unknownToken(const FlowPacket &head, Time now, Actions &actions) {
   if (head.Reset || head.Echo.Value == 0)
     return;
+  if (Unknown.size() >= Options.UnknownMost && !Unknown.contains(head.key()))
+    return;
   Time since = Unknown.try_emplace(head.key(), now).first->second;
   since = std::max(since, CurrentSince);
   if (!trustsMissing(now) || CurrentAt - since < Options.UnknownPatience)
@@ -182,6 +184,7 @@
       Duration took = now - flow.SentAt;
       Handshake += (took - Handshake) / SmoothingShare;
       Stats.HandshakeTime.add(took);
+      learnRoundTrip(Servers.at(i).Info.Zone, took);
       progress(i, now);
     }
     flow.LastAcknowledged = head.Acknowledged;
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -11,6 +11,11 @@
 
 // A slow link delays a probe as much as it delays openings.
 constexpr int HandshakesInTimeout = 4;
+// A far zone is asked with as much patience as its distance calls for.
+constexpr int RoundTripsInTimeout = 4;
+// Of the longest round trip so much is left at each shorter one, so that a
+// single slow one is forgotten after some ten.
+constexpr double RoundTripDecay = 0.8;
 
 } // namespace
 
@@ -30,7 +35,8 @@
   if (!reach.Failed)
     reach.RowBeganAt = now;
   reach.Timeout =
-      std::max(Options.Reaching.Timeout, Handshake * HandshakesInTimeout);
+      std::max({Options.Reaching.Timeout, Handshake * HandshakesInTimeout,
+                roundTrip(Servers.at(i).Info.Zone) * RoundTripsInTimeout});
   if (reach.Failed) {
     reach.Timeout *= Options.Reaching.DecidingFactor;
     BackendIndex other = lastToAnswer(i);
@@ -77,6 +83,7 @@
   if (event.Outcome == ProbeOutcome::Reached) {
     reach.Failed = false;
     reach.ReachedAt = now;
+    learnRoundTrip(backend.Info.Zone, now - reach.SentAt);
     return;
   }
   // A probe that was under way while this process stood still shows nothing.
@@ -93,7 +100,10 @@
   bool decides = std::exchange(reach.Failed, true);
   if (!decides)
     return probe(i, now, actions);
-  if (!linkWorked(i))
+  // How long an answer from a zone takes that was never heard is not known.
+  bool knownDistance = backend.Info.Zone == Options.Zone ||
+                       RoundTrips.contains(backend.Info.Zone);
+  if (!knownDistance || !linkWorked(i))
     return;
   reach.UnreachableUntil = now + Options.Reaching.BelieveFor;
   decided({.What = "backend_unreachable",
@@ -116,6 +126,17 @@
   return false;
 }
 
+void Core::learnRoundTrip(const std::string &zone, Duration took) {
+  Duration &longest = RoundTrips[zone];
+  auto left = std::chrono::duration_cast<Duration>(longest * RoundTripDecay);
+  longest = std::max(took, left);
+}
+
+Duration Core::roundTrip(const std::string &zone) const {
+  auto it = RoundTrips.find(zone);
+  return it == RoundTrips.end() ? Duration::zero() : it->second;
+}
+
 /// A request for a server that can't be reached: its caller is told at once, if
 /// it may ask again. Returns true where that was done.
 ///
--- a/tests/ReachTest.cpp
+++ b/tests/ReachTest.cpp
@@ -61,6 +61,8 @@
   CPPUNIT_TEST(sparesRequestsThatMayNotRunTwice);
   CPPUNIT_TEST(blamesItsOwnLinkFirst);
   CPPUNIT_TEST(takesASlowLinkForItsOwnFault);
+  CPPUNIT_TEST(isPatientWithAFarZone);
+  CPPUNIT_TEST(givesUpOnNoZoneThatItNeverHeard);
   CPPUNIT_TEST(forgetsItsBeliefInTime);
   CPPUNIT_TEST(takesAnAnswerForLife);
   CPPUNIT_TEST(countsNoProbeFromBeforeAPause);
@@ -168,6 +170,38 @@
                "the other one was reached, but late");
   }
 
+  // Symptom: flows of servers in another region are reset.
+  // Sequence: a server 150 ms away works on a request for longer than servers
+  // nearby do; probes fail before its answer can be here.
+  // Cause: one time limit for all distances.
+  void isPatientWithAFarZone() {
+    Instance instance;
+    Registration far = server(1);
+    far.Zone = "far";
+    instance.learn({far});
+    Caller caller;
+    instance.packet(caller.open());
+    instance.Now += 150ms;
+    caller.Echo = tokenOf(BackendId{1});
+    instance.packet(caller.ack());
+    instance.Now += 1ms;
+    instance.packet(caller.data(1));
+    auto probes = only<ProbeBackend>(instance.pass(300ms));
+    expectEqual<size_t>(1, probes.size());
+    expectTrue(probes[0].Timeout >= 450ms, "several round trips");
+  }
+
+  void givesUpOnNoZoneThatItNeverHeard() {
+    Doubtful instance;
+    Registration far = server(4);
+    far.Zone = "far";
+    instance.handle(BackendsLearned{.Present = {far}});
+    Caller caller{.Port = 9, .Echo = tokenOf(BackendId{4})};
+    instance.packet(caller.data(1));
+    instance.pass(70ms);
+    expectTrue(only<ResetFlow>(instance.bothFail(4)).empty(), "no reset");
+  }
+
   // Symptom: flows are reset long after the servers are within reach again.
   // Sequence: a cut between zones heals; nobody probed meanwhile.
   // Cause: a belief without an end.
--- a/tests/TokenCoreTest.cpp
+++ b/tests/TokenCoreTest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(neverLetsATokenReachAnotherService);
   CPPUNIT_TEST(holdsBackWhatItDoesNotKnow);
   CPPUNIT_TEST(resetsAFlowWhoseServerHasLongEnded);
+  CPPUNIT_TEST(remembersOnlySoManyUnknownFlows);
   CPPUNIT_TEST(dropsWhatTwoServersCouldOwn);
   CPPUNIT_TEST(keepsCopiesOfAnOpeningTogether);
   CPPUNIT_TEST(movesOpeningsFromASilentServer);
@@ -105,6 +106,25 @@
                "after all that time no registration can be on its way");
   }
 
+  // Symptom: an instance is killed for its memory.
+  // Sequence: somebody sends packets with made-up tokens from ever new ports.
+  // Cause: each such flow remembered for a minute.
+  void remembersOnlySoManyUnknownFlows() {
+    Instance instance({.Zone = "a", .UnknownMost = 50});
+    instance.learn({server(1)});
+    for (uint16_t port = 1; port <= 500; ++port)
+      instance.packet(
+          Caller{.Port = port, .Echo = tokenOf(BackendId{9})}.data(1));
+    expectEqual<size_t>(50, instance.Steers.unknownFlows());
+    section("those that are remembered are reset in time all the same", [&] {
+      instance.pass(6s);
+      Caller first{.Port = 1, .Echo = tokenOf(BackendId{9})};
+      expectTrue(resetWhy(instance.packet(first.data(1))) ==
+                     Reason::BackendGone,
+                 "reset");
+    });
+  }
+
   // Two servers whose ids fold to one token, in one service.
   void dropsWhatTwoServersCouldOwn() {
     constexpr uint64_t High = uint64_t{1} << 32;
