--- a/include/chicorybank/edge/PeerMessages.h
+++ b/include/chicorybank/edge/PeerMessages.h
@@ -41,7 +41,13 @@
   std::string Bytes;
 };
 
-using PeerMessage = std::variant<NewsPush, Fragment>;
+/// The sender can't reach a backend server.
+struct Doubt {
+  InstanceId Sender;
+  token::BackendId Backend;
+};
+
+using PeerMessage = std::variant<NewsPush, Fragment, Doubt>;
 
 /// A message that fits into this many bytes is one datagram on any link.
 inline constexpr size_t MaxPeerMessage = 1200;
@@ -60,6 +66,7 @@
 /// messages apart.
 std::vector<std::string> encodeDatagrams(const NewsPush &push,
                                          uint64_t message);
+std::string encodeDoubt(const Doubt &doubt);
 tl::expected<PeerMessage, Reason> decodeDatagram(std::span<const char> bytes);
 
 } // namespace chicory::edge
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -125,6 +125,7 @@
   void on(const NewsChecked &event, Time now, Actions &actions);
   void on(const BoundsChanged &event, Time now, Actions &actions);
   void on(const ProbeEnded &event, Time now, Actions &actions);
+  void on(const BackendDoubted &event, Time now, Actions &actions);
   void on(const Tick &event, Time now, Actions &actions);
 
   void open(const PacketSeen &event, Time now, Actions &actions);
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -61,12 +61,18 @@
   ProbeOutcome Outcome = ProbeOutcome::NotTried;
 };
 
+/// Another instance has given up on a server. That may be its own trouble, so
+/// this instance looks for itself.
+struct BackendDoubted {
+  BackendId Id;
+};
+
 /// Time passes; send one every few milliseconds while flows are opening.
 struct Tick {};
 
 using Event =
     std::variant<PacketSeen, RoutesLearned, BackendsLearned, BackendsComplete,
-                 NewsChecked, BoundsChanged, ProbeEnded, Tick>;
+                 NewsChecked, BoundsChanged, ProbeEnded, BackendDoubted, Tick>;
 
 /// Send the packet to a backend server, with this token in it.
 struct Forward {
@@ -93,6 +99,11 @@
   Duration Timeout;
 };
 
+/// Tell other instances that a server can't be reached from here.
+struct ShareDoubt {
+  BackendId Id;
+};
+
 /// Something worth a log line.
 struct Decision {
   /// What happened, one word; a string literal.
@@ -106,7 +117,8 @@
   Duration Age = Duration::zero();
 };
 
-using Action = std::variant<Forward, ResetFlow, ProbeBackend, Decision>;
+using Action =
+    std::variant<Forward, ResetFlow, ProbeBackend, ShareDoubt, Decision>;
 using Actions = std::vector<Action>;
 
 } // namespace chicory::token
--- a/lib/edge/ControlDuty.cpp
+++ b/lib/edge/ControlDuty.cpp
@@ -33,6 +33,7 @@
       Peers(Events, std::move(peerListener),
             [this](const std::string &it) { return answerPeer(it); }) {
   Signals.attach(Events);
+  Common.ControlWakeup.attach(Events);
 }
 
 HttpAnswer ControlDuty::answerReady() const {
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -107,6 +107,9 @@
          "Bytes of messages sent to other instances", peers.Bytes);
   single(out, "chicory_bad_peer_messages_total", "counter",
          "Messages from instances that can't be read", peers.Bad);
+  single(out, "chicory_doubts_heard_total", "counter",
+         "Messages of instances that can't reach a backend server",
+         peers.Doubts);
   single(out, "chicory_flows", "gauge", "Flows followed", edge.Flows);
   single(out, "chicory_servers", "gauge", "Backend servers that live",
          edge.Servers);
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -58,6 +58,7 @@
   if (Peer)
     Peer->expire(now);
   passNews();
+  shareDoubts(now);
   if (Leaving)
     return;
   callRegistry(now);
@@ -155,6 +156,8 @@
       ++Traffic.Bad;
     else if (auto *push = std::get_if<NewsPush>(&*message))
       takePush(*push, now);
+    else if (auto *doubt = std::get_if<Doubt>(&*message))
+      takeDoubt(*doubt, now);
     else
       takeFragment(std::move(std::get<Fragment>(*message)), now);
   }
@@ -171,6 +174,31 @@
     ++Traffic.Bad;
 }
 
+/// A server that died is found by whoever had requests there. Told of it, the
+/// others find out before they lose requests of their own.
+void NewsDuty::shareDoubts(Time now) {
+  token::BackendId id;
+  while (Common.Doubts.try_dequeue(id))
+    if (Doubts.isNew(id, now))
+      sendDoubt(id, true);
+}
+
+void NewsDuty::takeDoubt(const Doubt &doubt, Time now) {
+  ++Traffic.Doubts;
+  if (!Doubts.isNew(doubt.Backend, now))
+    return;
+  Pending.emplace_back(token::BackendDoubted{doubt.Backend});
+  passNews();
+  sendDoubt(doubt.Backend, false);
+}
+
+void NewsDuty::sendDoubt(token::BackendId id, bool own) {
+  std::string bytes =
+      encodeDoubt({.Sender = InstanceId{Settings.Ip}, .Backend = id});
+  for (Address it : Spread.targets(own))
+    send(bytes, it);
+}
+
 void NewsDuty::takePush(const NewsPush &push, Time now) {
   Time before = Reader.currentAt();
   std::vector<token::Event> news;
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -9,6 +9,7 @@
 #include "Shared.h"
 
 #include "chicorybank/edge/Announcer.h"
+#include "chicorybank/edge/DoubtLog.h"
 #include "chicorybank/edge/FragmentAssembler.h"
 #include "chicorybank/edge/NewsSpread.h"
 #include "chicorybank/edge/Settings.h"
@@ -22,6 +23,7 @@
   uint64_t Messages = 0;
   uint64_t Bytes = 0;
   uint64_t Bad = 0;
+  uint64_t Doubts = 0;
 };
 
 /// Runs inside the control thread's loop.
@@ -52,6 +54,9 @@
   void readPushes();
   void takePush(const NewsPush &push, Time now);
   void takeFragment(Fragment fragment, Time now);
+  void takeDoubt(const Doubt &doubt, Time now);
+  void shareDoubts(Time now);
+  void sendDoubt(token::BackendId id, bool own);
   void pull(InstanceId from, bool whole);
   void takePulled(const HttpClient::Result &result, InstanceId from,
                   bool whole);
@@ -86,6 +91,7 @@
   bool Leaving = false;
   PeerStats Traffic;
   FragmentAssembler Fragments;
+  DoubtLog Doubts;
   uint64_t MessagesSent = 0;
 };
 
--- a/lib/edge/PacketDuty.cpp
+++ b/lib/edge/PacketDuty.cpp
@@ -125,6 +125,9 @@
       Batch.add(size, Frames.callerAddress(reset->Flow));
     } else if (const auto *probe = std::get_if<token::ProbeBackend>(&it)) {
       Probes.start(*probe, steadyNow());
+    } else if (const auto *doubt = std::get_if<token::ShareDoubt>(&it)) {
+      if (Common.Doubts.try_enqueue(doubt->Id))
+        Common.ControlWakeup.wake();
     } else if (const auto *decision = std::get_if<token::Decision>(&it)) {
       if (!Common.Decisions.try_enqueue(*decision))
         ++Stats.LogsDropped;
--- a/lib/edge/PeerMessages.cpp
+++ b/lib/edge/PeerMessages.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr uint64_t FormatVersion = 1;
-enum class Kind : uint8_t { News = 1, Fragment = 2 };
+enum class Kind : uint8_t { News = 1, Fragment = 2, Doubt = 3 };
 
 /// Writes MessagePack values.
 class Packer {
@@ -220,10 +220,20 @@
   return out;
 }
 
+std::string encodeDoubt(const Doubt &doubt) {
+  Packer out;
+  out.list(4).number(FormatVersion).number(static_cast<uint64_t>(Kind::Doubt));
+  out.number(doubt.Sender.Value).number(doubt.Backend.Value);
+  return out.take();
+}
+
 tl::expected<PeerMessage, Reason> decodeDatagram(std::span<const char> bytes) {
   return decode<PeerMessage>(bytes, [](Unpacker &in, uint64_t kind) {
     if (kind == static_cast<uint64_t>(Kind::Fragment))
       return PeerMessage(readFragment(in));
+    if (kind == static_cast<uint64_t>(Kind::Doubt))
+      return PeerMessage(Doubt{.Sender = readInstance(in),
+                               .Backend = token::BackendId{in.number()}});
     in.require(kind == static_cast<uint64_t>(Kind::News));
     return PeerMessage(readPush(in));
   });
--- a/lib/edge/Shared.h
+++ b/lib/edge/Shared.h
@@ -39,6 +39,9 @@
   Wakeup PacketWakeup;
   /// From the packet thread: decisions to be logged.
   moodycamel::ReaderWriterQueue<token::Decision> Decisions{512};
+  /// From the packet thread: servers that can't be reached, for the others.
+  moodycamel::ReaderWriterQueue<token::BackendId> Doubts{64};
+  Wakeup ControlWakeup;
 
   /// Routes and backend servers are known.
   std::atomic<bool> Serves = false;
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -110,9 +110,28 @@
            .Why = Reason::BackendUnreachable,
            .Backend = backend.Info.Id},
           now, actions);
+  actions.emplace_back(ShareDoubt{.Id = backend.Info.Id});
   resetRequestsOf(i, now, actions);
 }
 
+/// The other instance's two probes stand for the first one here, so the next
+/// one decides. A server that this instance has nothing to do with can wait.
+void Core::on(const BackendDoubted &event, Time now, Actions &actions) {
+  BackendIndex i = Servers.find(event.Id);
+  if (i == NoBackend)
+    return;
+  Backend &backend = Servers.at(i);
+  Reach &reach = backend.Probes;
+  bool concerned = backend.Flows != 0 || backend.Info.Zone == Options.Zone;
+  bool asked =
+      now - std::max(reach.ReachedAt, reach.FailedAt) < Options.Reaching.Every;
+  if (!concerned || asked || reach.Probing)
+    return;
+  reach.RowBeganAt = now;
+  reach.Failed = true;
+  probe(i, now, actions);
+}
+
 /// While the last probe of a server was under way, a probe of another one was
 /// answered, and quickly.
 bool Core::linkWorked(BackendIndex i) const {
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(splitsWhatIsTooLargeForADatagram);
   CPPUNIT_TEST(leavesOutWhatNeedsTooManyDatagrams);
   CPPUNIT_TEST(refusesDamagedFragments);
+  CPPUNIT_TEST(carriesADoubt);
   CPPUNIT_TEST_SUITE_END();
 
   void comesOutAsItWentIn() {
@@ -97,6 +98,17 @@
     });
   }
 
+  void carriesADoubt() {
+    std::string bytes = encodeDoubt(
+        {.Sender = InstanceId{7}, .Backend = token::BackendId{0xfffffffff1}});
+    auto message = decodeDatagram(bytes);
+    expectTrue(message && std::holds_alternative<Doubt>(*message), "a doubt");
+    expectEqual<uint64_t>(0xfffffffff1,
+                          std::get<Doubt>(*message).Backend.Value);
+    bytes.pop_back();
+    expectTrue(!decodeDatagram(bytes), "a cut one is refused");
+  }
+
   void refusesDamagedBytes() {
     property("cut bytes are refused", [] {
       std::string bytes = encodePush(sample(50));
--- a/tests/ReachTest.cpp
+++ b/tests/ReachTest.cpp
@@ -66,6 +66,8 @@
   CPPUNIT_TEST(forgetsItsBeliefInTime);
   CPPUNIT_TEST(takesAnAnswerForLife);
   CPPUNIT_TEST(countsNoProbeFromBeforeAPause);
+  CPPUNIT_TEST(tellsTheOthers);
+  CPPUNIT_TEST(looksForItselfWhenAnotherDoubts);
   CPPUNIT_TEST(probesSeldom);
   CPPUNIT_TEST(resetsNothingWithoutTwoFailedProbes);
   CPPUNIT_TEST_SUITE_END();
@@ -246,6 +248,47 @@
     expectTrue(only<ResetFlow>(actions).empty(), "the first does not count");
   }
 
+  void tellsTheOthers() {
+    Doubtful instance;
+    auto told = only<ShareDoubt>(instance.bothFail());
+    expectEqual<size_t>(1, told.size());
+    expectEqual<uint64_t>(1, told[0].Id.Value);
+  }
+
+  // Symptom: after servers die, each of seventy instances loses requests of its
+  // own before it stops using them.
+  // Sequence: one finds out in half a second, the others one after the other.
+  // Cause: each knows only what it has seen itself.
+  void looksForItselfWhenAnotherDoubts() {
+    Instance instance;
+    Registration far = server(3);
+    far.Zone = "b";
+    instance.learn({server(1), server(2), far});
+    Caller old{.Port = 1, .Echo = tokenOf(BackendId{2})};
+    instance.packet(old.data(1));
+    instance.packet(old.ack(500));
+    instance.pass(1s);
+    auto doubt = [&](uint64_t id) {
+      return only<ProbeBackend>(
+          instance.handle(BackendDoubted{.Id = BackendId{id}}));
+    };
+    section("one probe decides, with one to a server that answered", [&] {
+      expectEqual<size_t>(2, doubt(1).size());
+      expectTrue(doubt(1).empty(), "it is under way already");
+    });
+    section("the other's word alone changes nothing", [&] {
+      Caller caller{.Port = 5, .Echo = tokenOf(BackendId{1})};
+      expectEqual<uint64_t>(1, sentTo(instance.packet(caller.data(1))));
+      instance.handle(
+          ProbeEnded{.Id = BackendId{1}, .Outcome = ProbeOutcome::Reached});
+      expectEqual<uint64_t>(1, sentTo(instance.packet(caller.data(200))));
+    });
+    section("a server in another zone without flows here can wait", [&] {
+      expectTrue(doubt(3).empty(), "no probe");
+      expectTrue(doubt(99).empty(), "nor for an unknown one");
+    });
+  }
+
   void probesSeldom() {
     Doubtful instance;
     instance.probeEnds(ProbeOutcome::Reached);
