--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -25,6 +25,9 @@
   uint32_t Slots = 1;
   /// It is slow for this much longer after its start.
   Duration WarmUpLeft = Duration::zero();
+  /// Grows from registration to registration; of two at one address the newer
+  /// one has the larger number. Equal ones say nothing.
+  uint64_t Order = 0;
 
   bool operator==(const Registration &) const = default;
 };
@@ -81,12 +84,17 @@
   explicit Backends(BackendTimes times) : Times(times) {}
 
   /// A registration was read. Returns true where its standing changed.
+  ///
+  /// Addresses are given to other servers once their owner has ended. An older
+  /// registration of the same address is a dead server's, which would keep its
+  /// flows waiting until the registration lapses; it is gone at once. Probes
+  /// can't tell, since the new owner answers them.
   bool learn(const Registration &info, Time now);
   /// A registration has ended. Returns true where its standing changed.
   bool lost(BackendId id, Time now);
   /// Forgets servers that have been gone for long. With `trusted`, a missing
-  /// registration proves that its server has ended: turns missing into gone and
-  /// returns those.
+  /// registration proves that its server has ended: turns missing into gone.
+  /// Returns those that went since the last call.
   std::vector<BackendIndex> update(bool trusted, Time now);
 
   Backend &at(BackendIndex i) { return Slots[i]; }
@@ -106,6 +114,9 @@
 
 private:
   BackendIndex add(const Registration &info);
+  /// Settles whose address it is. False: another server has it now.
+  bool claimAddress(BackendIndex i, Time now);
+  void end(BackendIndex i, Time now);
   void forget(BackendIndex i);
 
   BackendTimes Times;
@@ -115,6 +126,9 @@
   std::unordered_map<uint64_t, BackendIndex> ById;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByToken;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByService;
+  /// Who registered an address last.
+  std::unordered_map<uint64_t, BackendIndex> ByAddress;
+  std::vector<BackendIndex> Ended;
 };
 
 } // namespace chicory::token
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -162,6 +162,7 @@
   Duration requestPatience() const;
   void steerOpeningsAway(BackendIndex from, Time now, Actions &actions);
   void checkOpenings(Time now, Actions &actions);
+  void endServers(bool trusted, Time now, Actions &actions);
   void resetFlowsOf(BackendIndex i, Time now, Actions &actions);
   void resetFlows(const std::vector<FlowKey> &keys, Reason why, Time now,
                   Actions &actions);
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -1,6 +1,7 @@
 #include "chicorybank/token/Backends.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicory::token {
 
@@ -38,15 +39,43 @@
     i = add(info);
   Backend &backend = Slots[i];
   Standing before = backend.State;
+  backend.Info = info;
+  if (!claimAddress(i, now)) {
+    if (before != Standing::Gone)
+      end(i, now);
+    return false;
+  }
   // It had been given up on, and lives after all.
-  if (backend.State == Standing::Gone)
+  if (before == Standing::Gone)
     ++Living;
-  backend.Info = info;
   backend.State = info.Draining ? Standing::Draining : Standing::Ready;
   backend.WarmUntil = now + info.WarmUpLeft;
   return fresh || before != backend.State;
 }
 
+bool Backends::claimAddress(BackendIndex i, Time now) {
+  const Registration &own = Slots[i].Info;
+  auto it = ByAddress.try_emplace(own.Where.packed(), i).first;
+  BackendIndex owner = it->second;
+  const Registration &other = Slots[owner].Info;
+  if (owner == i)
+    return true;
+  bool same = other.Where == own.Where && other.Order != own.Order;
+  if (same && other.Order > own.Order)
+    return false;
+  it->second = i;
+  if (same && Slots[owner].State != Standing::Gone)
+    end(owner, now);
+  return true;
+}
+
+void Backends::end(BackendIndex i, Time now) {
+  Slots[i].State = Standing::Gone;
+  Slots[i].LostAt = now;
+  --Living;
+  Ended.push_back(i);
+}
+
 bool Backends::lost(BackendId id, Time now) {
   BackendIndex i = find(id);
   if (i == NoBackend)
@@ -60,27 +89,26 @@
 }
 
 std::vector<BackendIndex> Backends::update(bool trusted, Time now) {
-  std::vector<BackendIndex> out;
   for (BackendIndex i = 0; i < limit(); ++i) {
     Backend &backend = Slots[i];
     if (backend.Info.Id.Value == 0)
       continue;
     if (backend.State == Standing::Missing && trusted) {
-      backend.State = Standing::Gone;
-      backend.LostAt = now;
-      --Living;
-      out.push_back(i);
+      end(i, now);
     } else if (backend.State == Standing::Gone &&
                now - backend.LostAt > Times.RememberGone) {
       forget(i);
     }
   }
-  return out;
+  return std::exchange(Ended, {});
 }
 
 void Backends::forget(BackendIndex i) {
   const Registration &info = Slots[i].Info;
   ById.erase(info.Id.Value);
+  auto address = ByAddress.find(info.Where.packed());
+  if (address != ByAddress.end() && address->second == i)
+    ByAddress.erase(address);
   eraseValue(ByToken[tokenOf(info.Id).Value], i);
   eraseValue(ByService[info.Service.Value], i);
   Slots[i] = {};
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -268,6 +268,8 @@
   for (BackendId it : event.Ended)
     if (Servers.lost(it, now))
       decided({.What = "backend_missing", .Backend = it}, now, actions);
+  // What is missing has to wait until the news is shown to be current.
+  endServers(false, now, actions);
 }
 
 void Core::decided(Decision decision, Time now, Actions &actions) const {
@@ -308,12 +310,16 @@
   if (now - LastSweep < SweepInterval)
     return;
   LastSweep = now;
-  for (BackendIndex it : Servers.update(trustsMissing(now), now)) {
+  endServers(trustsMissing(now), now, actions);
+  sweep(now);
+}
+
+void Core::endServers(bool trusted, Time now, Actions &actions) {
+  for (BackendIndex it : Servers.update(trusted, now)) {
     decided({.What = "backend_gone", .Backend = Servers.at(it).Info.Id}, now,
             actions);
     resetFlowsOf(it, now, actions);
   }
-  sweep(now);
 }
 
 void Core::resetFlowsOf(BackendIndex i, Time now, Actions &actions) {
--- a/tests/BackendsTest.cpp
+++ b/tests/BackendsTest.cpp
@@ -24,6 +24,8 @@
   CPPUNIT_TEST(takesBackWhoReturns);
   CPPUNIT_TEST(forgetsTheGoneAfterALongestFlow);
   CPPUNIT_TEST(seesSharedTokens);
+  CPPUNIT_TEST(endsTheFormerOwnerOfAnAddress);
+  CPPUNIT_TEST(endsNobodyWhoMovedAway);
   CPPUNIT_TEST_SUITE_END();
 
   // Symptom: open flows to a healthy server are reset after an outage.
@@ -67,6 +69,50 @@
     expectTrue(list.find(BackendId{1}) == NoBackend, "it is forgotten");
   }
 
+  // Symptom: for seconds, requests wait in flows of a server that has died, and
+  // probes of its address are answered.
+  // Sequence: it falls silent; two seconds later another service's server is
+  // started at its address; its own registration lapses only after that.
+  // Cause: an address taken for a server.
+  void endsTheFormerOwnerOfAnAddress() {
+    auto at = [](uint64_t id, uint64_t order) {
+      Registration out = server(id);
+      out.Where = {.Ip = 10, .Port = 80};
+      out.Order = order;
+      return out;
+    };
+    property("whichever registration is read first", [&] {
+      Backends list({});
+      bool newerFirst = *rc::gen::arbitrary<bool>();
+      list.learn(newerFirst ? at(2, 9) : at(1, 5), Start);
+      list.learn(newerFirst ? at(1, 5) : at(2, 9), Start);
+      auto ended = list.update(false, Start);
+      RC_ASSERT(ended.size() == 1U);
+      RC_ASSERT(list.at(ended[0]).Info.Id == BackendId{1});
+      RC_ASSERT(list.at(ended[0]).State == Standing::Gone);
+      RC_ASSERT(list.size() == 1U);
+      list.learn(at(1, 5), Start);
+      RC_ASSERT(list.at(ended[0]).State == Standing::Gone);
+      RC_ASSERT(list.update(false, Start).empty());
+    });
+  }
+
+  void endsNobodyWhoMovedAway() {
+    Backends list({});
+    Registration moving = server(1);
+    moving.Where = {.Ip = 10, .Port = 80};
+    moving.Order = 5;
+    list.learn(moving, Start);
+    moving.Where = {.Ip = 11, .Port = 80};
+    list.learn(moving, Start);
+    Registration next = server(2);
+    next.Where = {.Ip = 10, .Port = 80};
+    next.Order = 9;
+    list.learn(next, Start);
+    expectTrue(list.update(false, Start).empty(), "nobody has ended");
+    expectEqual<size_t>(2, list.size());
+  }
+
   void seesSharedTokens() {
     Backends list({});
     constexpr uint64_t High = uint64_t{1} << 32;
