--- a/tools/soaklib/ends.py
+++ b/tools/soaklib/ends.py
@@ -44,6 +44,8 @@
     async def start(self):
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(self.ip, self.port))
+        # Whoever only wants to know whether it lives opens a connection.
+        self.listener = await asyncio.start_server(lambda _, writer: writer.close(), self.ip, self.port)
         self.register()
         return self
 
@@ -59,6 +61,7 @@
     def end(self, registered=False):
         self.alive = False
         self.transport.close()
+        self.listener.close()
         if not registered:
             self.world.store.remove(self.key)
 
--- a/tools/soaklib/faults.py
+++ b/tools/soaklib/faults.py
@@ -73,6 +73,24 @@
     await world.add_backend(service)
 
 
+async def slow(world):
+    """A server takes a second for each request. It lives, so its flows may not be reset."""
+    victim = world.random.choice(world.living())
+    before, victim.work = victim.work, 1.0
+    await asyncio.sleep(world.random.uniform(1, 4))
+    victim.work = before
+
+
+async def peers(world):
+    """Messages from other instances to one are lost, late or doubled."""
+    way = world.random.choice(world.instances).peers
+    seconds = world.random.uniform(0.5, 5)
+    world.disturb(seconds)
+    way.fault = world.random.choice(("lost", "half_lost", "late", "twice"))
+    await asyncio.sleep(seconds)
+    way.fault = None
+
+
 async def store_trouble(world):
     kind = world.random.choice(("down", "busy", "silent"))
     seconds = world.random.uniform(0.5, 5)
@@ -132,7 +150,7 @@
 
 
 PLANNED = (stop_planned, reload, release, routes)
-FAULTS = (kill, pause, crash, store_trouble, store_slow, store_loses, store_forgets, connection)
+FAULTS = (kill, pause, crash, store_trouble, store_slow, store_loses, store_forgets, connection, slow, peers)
 
 
 async def play(world, seconds):
--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -9,7 +9,7 @@
 import time
 import zlib
 
-from . import ends, store, wire
+from . import ends, peers, store, wire
 
 APPLY_SECONDS = 3.0
 # A fault's effects may last this long; promises with a time count outside it.
@@ -54,6 +54,7 @@
     async def prepare(self):
         self.proxy = store.Proxy(self.world.store_port)
         port = await self.proxy.listen(self.ip)
+        self.peers = await peers.PeerWay(self.ip, self.world.peer_port, self.world.random).listen()
         self.settings = self.world.folder / f"{self.name}.toml"
         self.settings.write_text(SETTINGS.format(name=self.name, ip=self.ip, port=self.world.port, ready=self.world.ready_port, peers=self.world.peer_port, proxy=port))
 
@@ -110,6 +111,7 @@
         self.checks = ends.Checks()
         self.store = store.Store()
         self.store.random = self.random
+        self.store.rewrite = self.way_to_instance
         self.port, self.ready_port, self.peer_port = free_port(), free_port(), free_port()
         self.server_port = free_port()
         self.instances = [Instance(self, n + 1) for n in range(instances)]
@@ -123,6 +125,14 @@
         self.next_id = 0x100
         self.stopping = False
 
+    def way_to_instance(self, key, value):
+        """An instance's record, as the others get to see it."""
+        prefix = "chicorybank/instances/"
+        for it in self.instances:
+            if key == prefix + it.ip:
+                return json.dumps(json.loads(value) | {"peers": f"{it.ip}:{it.peers.port}"})
+        return value
+
     # Promises.
 
     def quiet(self):
--- a/tools/soaklib/store.py
+++ b/tools/soaklib/store.py
@@ -21,6 +21,8 @@
         self.lose = 0.0
         self.random = None
         self.calls = 0
+        # Instances find each other through their records; this may lead them over a way with faults.
+        self.rewrite = lambda key, value: value
 
     # What the operator and the backend servers do; their calls are not lost.
 
@@ -129,7 +131,8 @@
             if it["lease"] and it["lease"] not in self.leases:
                 return 404, {}
         for it in body["puts"]:
-            self.put(it["key"], base64.b64decode(it["value"]).decode(), it["lease"])
+            value = base64.b64decode(it["value"]).decode()
+            self.put(it["key"], self.rewrite(it["key"], value), it["lease"])
         for key in body["remove"]:
             self.remove(key)
         return 200, {"revision": self.revision}
