Routes: the first of two with one address decides

Each route was written over the one before, so the last one won, although rules are ordered and the first match decides.

Change: the first stays. Latency objective and priority of a route were read and used by nobody: removed. The test line that read the objective now reads whether requests may be repeated, which is used.

Test: RouteTableTest::letsTheFirstMatchDecide, failing before ("expected: the first").

--- a/include/chicorybank/token/Routes.h
+++ b/include/chicorybank/token/Routes.h
@@ -25,13 +25,9 @@
 struct Route {
   Address Where;
   std::vector<WeightedService> Services;
-  /// Latency objective; zero where none is set.
-  Duration Aim = Duration::zero();
   /// Its requests may run more than once, so a caller may repeat one whose
   /// outcome it does not know.
   bool Idempotent = false;
-  /// Zero is the most urgent.
-  uint8_t Priority = 0;
 };
 
 /// One accepted version of the configuration.
--- a/lib/token/Routes.cpp
+++ b/lib/token/Routes.cpp
@@ -20,8 +20,9 @@
   std::unordered_map<uint64_t, Route> old = std::move(Current);
   Current.clear();
   Current.reserve(routes.Routes.size());
+  // Routes are ordered, and the first match decides.
   for (const Route &it : routes.Routes)
-    Current[it.Where.packed()] = it;
+    Current.try_emplace(it.Where.packed(), it);
   for (const auto &[where, route] : old)
     remember(route, now);
   for (auto &[where, former] : Past)
--- a/tests/RouteTableTest.cpp
+++ b/tests/RouteTableTest.cpp
@@ -27,6 +27,7 @@
 class RouteTableTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RouteTableTest);
   CPPUNIT_TEST(neverGoesBack);
+  CPPUNIT_TEST(letsTheFirstMatchDecide);
   CPPUNIT_TEST(remembersServicesWhileFlowsMayLive);
   CPPUNIT_TEST(tellsRemovedFromNeverThere);
   CPPUNIT_TEST_SUITE_END();
@@ -44,6 +45,22 @@
     expectTrue(table.find(FeedAddress) == nullptr, "the route stays away");
   }
 
+  // Symptom: flows reach the service of a later rule.
+  // Sequence: a configuration names one address in two routes.
+  // Cause: each route written over the one before.
+  void letsTheFirstMatchDecide() {
+    RouteTable table(60s);
+    RouteSet both = routes(1, {{.Service = Records}});
+    both.Routes.push_back(
+        {.Where = FeedAddress, .Services = {{.Service = Certificates}}});
+    table.learn(both, Start);
+    expectTrue(table.find(FeedAddress)->Services[0].Service == Records,
+               "the first");
+    expectTrue(!table.mayReach(FeedAddress, Certificates, Start),
+               "the other gets nothing, whatever the token");
+    expectEqual<size_t>(1, table.size());
+  }
+
   void remembersServicesWhileFlowsMayLive() {
     RouteTable table(60s);
     table.learn(routes(1, {{.Service = Records}}), Start);
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -49,6 +49,14 @@
   CPPUNIT_TEST(writesItsCalls);
   CPPUNIT_TEST_SUITE_END();
 
+  static token::Route readRouteOfType(const std::string &type) {
+    std::string text = Config;
+    text.replace(text.find("\"safe\""), 6, '"' + type + '"');
+    Findings findings;
+    News news = read("op/config", text, findings);
+    return std::get<token::RouteSet>(news).Routes[0];
+  }
+
   void readsTheConfiguration() {
     Findings findings;
     News news = read("op/config", Config, findings);
@@ -63,7 +71,9 @@
     expectEqual<size_t>(2, split.Services.size());
     expectTrue(split.Services[1].Service == serviceIdOf("wuno96b"), "a name");
     expectEqual<uint32_t>(10, split.Services[1].Weight);
-    expectTrue(split.Aim == 150ms, "its objective");
+    expectTrue(split.Idempotent, "its requests may be repeated");
+    expectTrue(!readRouteOfType("unsafe").Idempotent, "these may not");
+    expectTrue(!readRouteOfType("").Idempotent, "nor may unknown ones");
   }
 
   // Symptom: one odd route, and no service is reached any more.
