--- a/cmake/Full.cmake
+++ b/cmake/Full.cmake
@@ -54,6 +54,10 @@
   endif()
 endforeach()
 
+find_package(Python3 REQUIRED COMPONENTS Interpreter)
+add_test(NAME follow_test
+  COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/follow_test.py)
+
 add_executable(bench-core bench/CoreBench.cpp)
 target_link_libraries(bench-core PRIVATE chicory_peer)
 add_executable(bench-forward bench/ForwardBench.cpp)
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -40,6 +40,7 @@
 class StoreDialectTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreDialectTest);
   CPPUNIT_TEST(readsTheConfiguration);
+  CPPUNIT_TEST(reportsARouteThatNeverMatches);
   CPPUNIT_TEST(leavesOutARouteThatIsWrong);
   CPPUNIT_TEST(readsARegistration);
   CPPUNIT_TEST(reportsFaultsWithTheirPlace);
@@ -76,6 +77,16 @@
     expectTrue(!readRouteOfType("").Idempotent, "nor may unknown ones");
   }
 
+  void reportsARouteThatNeverMatches() {
+    std::string text = Config;
+    text.replace(text.find("198.18.0.2"), 10, "198.18.0.1");
+    Findings findings;
+    platform::StoreDialect().checkConfiguration(text, findings);
+    expectEqual<std::string>("op/config.routes[1]: never matches: an earlier "
+                             "route has its address\n",
+                             findings.text());
+  }
+
   // Symptom: one odd route, and no service is reached any more.
   // Sequence: a configuration comes with a route that can't be read.
   // Cause: the whole configuration refused for one part.
