--- a/include/chicorybank/edge/Settings.h
+++ b/include/chicorybank/edge/Settings.h
@@ -26,9 +26,6 @@
   /// over TCP, same port).
   Address Peers;
   Address Registry;
-  /// Addresses of a few other instances, which may be out of date. Their ports
-  /// are not used: all instances have the same `Peers.Port`.
-  std::vector<Address> Seeds;
   NewsTimes News;
   token::CoreOptions Core;
   /// From the order to stop until the end. Routers ask twice a second and turn
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -11,9 +11,6 @@
 
 // Peers answer from memory; one that does not is slow or gone.
 constexpr Duration PeerTimeout = std::chrono::milliseconds(500);
-// Between two questions to seeds: what they tell is as old as their own news,
-// which comes at about this pace.
-constexpr Duration SeedEvery = std::chrono::milliseconds(700);
 constexpr Duration RecordTimeout = std::chrono::milliseconds(1500);
 constexpr size_t ReadBytes = 2048;
 constexpr int ReadsAtOnce = 64;
@@ -65,7 +62,6 @@
   if (Leaving)
     return;
   callRegistry(now);
-  callSeed(now);
   callAnnouncer(now);
   noteRegistry(now);
 }
@@ -80,8 +76,6 @@
     out = std::min(out, Reader.nextAt());
   if (!RecordCalls.busy() && Reader.complete())
     out = std::min(out, Record.nextAt());
-  if (Reader.needsSeed() && !Settings.Seeds.empty())
-    out = std::min(out, SeedAt);
   return out;
 }
 
@@ -244,7 +238,11 @@
   auto it = Known.find(from);
   if (it == Known.end() || (Peer && Peer->busy()))
     return;
-  connectPeer(from, it->second.Peers);
+  if (!Peer || PeerId != from) {
+    // News is read over TCP, on the port of the same number.
+    Peer = std::make_unique<HttpClient>(Events, Settings.Ip, it->second.Peers);
+    PeerId = from;
+  }
   std::string target = "/news";
   if (!whole)
     target += "?after=" + std::to_string(Reader.mirror().revision());
@@ -254,41 +252,6 @@
              });
 }
 
-void NewsDuty::connectPeer(InstanceId id, Address at) {
-  if (Peer && PeerId == id)
-    return;
-  // News is read over TCP, on the port of the same number.
-  Peer = std::make_unique<HttpClient>(Events, Settings.Ip, at);
-  PeerId = id;
-}
-
-/// An instance that starts while the registry is away, or in a zone that is cut
-/// off from it, would serve nobody, although its neighbours know everything.
-void NewsDuty::callSeed(Time now) {
-  bool due = Reader.needsSeed() && !Settings.Seeds.empty() && now >= SeedAt;
-  if (!due || (Peer && Peer->busy()))
-    return;
-  SeedAt = now + SeedEvery;
-  uint32_t ip = Settings.Seeds[NextSeed++ % Settings.Seeds.size()].Ip;
-  connectPeer(InstanceId{ip}, {.Ip = ip, .Port = Settings.Peers.Port});
-  Peer->call({.Target = "/news", .Timeout = PeerTimeout},
-             [this](const HttpClient::Result &it) { takeSeed(it); });
-}
-
-void NewsDuty::takeSeed(const HttpClient::Result &result) {
-  LogLine line("seed_asked");
-  line.with("peer", formatIp(PeerId.Value));
-  if (!result)
-    return Lines.write(line.with("why", httpFailureName(result.error())));
-  auto page = Dialect.readPage(result->Body);
-  if (result->Status != HttpOk || !page)
-    return Lines.write(line.with("status", result->Status));
-  std::vector<token::Event> news;
-  Reader.takeSeed(*page, news);
-  Lines.write(line.with("revision", page->Revision));
-  tell(std::move(news), steadyNow());
-}
-
 void NewsDuty::takePulled(const HttpClient::Result &result, InstanceId from,
                           bool whole) {
   if (!result) {
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -58,9 +58,6 @@
   void shareDoubts(Time now);
   void sendDoubt(token::BackendId id, bool own);
   void pull(InstanceId from, bool whole);
-  void callSeed(Time now);
-  void takeSeed(const HttpClient::Result &result);
-  void connectPeer(InstanceId id, Address at);
   void takePulled(const HttpClient::Result &result, InstanceId from,
                   bool whole);
   void sendPush(bool asked, Time now);
@@ -83,9 +80,6 @@
   std::unique_ptr<HttpClient> Peer;
   InstanceId PeerId;
   std::deque<token::Event> Pending;
-  /// The seed that is asked next, and when.
-  size_t NextSeed = 0;
-  Time SeedAt;
   /// Peers as last told to the spread and the packet thread.
   std::map<InstanceId, PeerRecord> Known;
   /// The revision that the last push led to.
--- a/lib/edge/Settings.cpp
+++ b/lib/edge/Settings.cpp
@@ -42,19 +42,6 @@
   TomlReader Reader;
 };
 
-/// The seeds, without this instance itself.
-std::vector<Address> readSeeds(TomlReader &listen, uint32_t ownIp) {
-  std::vector<Address> out;
-  for (const auto &[text, place] : listen.texts("seeds")) {
-    auto seed = parseAddress(text);
-    if (!seed)
-      listen.fault("seeds", "\"" + text + "\" is no IP:port");
-    else if (seed->Ip != ownIp)
-      out.push_back(*seed);
-  }
-  return out;
-}
-
 template <typename T>
 void compare(const char *key, const T &inUse, const T &fresh,
              std::vector<std::string> &changed) {
@@ -79,7 +66,6 @@
   compare("listen.packets", inUse.Packets, fresh.Packets, out.AfterRestart);
   compare("listen.ready", inUse.Ready, fresh.Ready, out.AfterRestart);
   compare("listen.peer_port", inUse.Peers, fresh.Peers, out.AfterRestart);
-  compare("listen.seeds", inUse.Seeds, fresh.Seeds, out.AfterRestart);
   compare("registry.address", inUse.Registry, fresh.Registry, out.AfterRestart);
   takeOver("times.apply_within", inUse.Core.ApplyWithin, fresh.Core.ApplyWithin,
            out.Applied);
@@ -115,8 +101,6 @@
         listen->number("peer_port", 0, {.Least = 1, .Most = 65535}));
     out.Peers = {.Ip = out.Ip, .Port = port};
 
-    out.Seeds = readSeeds(*listen.operator->(), out.Ip);
-
     Section registry(top, "registry", file, findings);
     out.Registry = registry->address("address", true);
 
--- a/tests/EdgeSettingsTest.cpp
+++ b/tests/EdgeSettingsTest.cpp
@@ -79,10 +79,6 @@
     expectTrue(text.find("edge.toml:6") != std::string::npos, text);
     expectTrue(text.find("packets") != std::string::npos, text);
     expectTrue(text.find("gracee") != std::string::npos, text);
-    expectTrue(findingsOf(replaced("peer_port = 7720", "peer_port = 7720\n"
-                                                       "seeds = [\"x\"]"))
-                       .find("seeds: \"x\" is no IP:port") != std::string::npos,
-               "a seed");
     expectTrue(!findingsOf("").empty(), "an empty file lacks everything");
     expectTrue(!findingsOf("[").empty(), "no TOML");
   }
@@ -135,14 +131,8 @@
              {"bounds.max_flow_s", "60"},
              {"bounds.grace_s", "6"}})
       fillIn(filled, "{{" + std::string(key) + "}}", value);
-    fillIn(filled, "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
-           "\"10.1.0.10:8166\", \"10.2.0.40:8166\"");
     Findings findings;
-    auto settings = read(filled, findings);
-    expectTrue(settings.has_value(), findings.text());
-    expectTrue(settings->Seeds.size() == 1 &&
-                   settings->Seeds[0].Ip == 0x0a020028,
-               "another instance, not itself");
+    expectTrue(read(filled, findings).has_value(), findings.text());
   }
 };
 
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -133,7 +133,6 @@
 class EdgeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EdgeTest);
   CPPUNIT_TEST(servesAndStops);
-  CPPUNIT_TEST(startsFromASeedWithoutTheRegistry);
   CPPUNIT_TEST(saysWhyItCannotStart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -218,52 +217,6 @@
     });
   }
 
-  // Another instance, at another address of this host, on the same port.
-  void startsFromASeedWithoutTheRegistry() {
-    Socket server;
-    Store known;
-    known.put(
-        "op/config",
-        R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"records"}]})");
-    known.put("servers/i-7", R"({"service":"records","address":")" +
-                                 formatAddress(server.address()) +
-                                 R"(","zone":"a","slots":2,"state":"ready"})");
-    platform::StoreDialect dialect;
-    httplib::Server seed;
-    seed.Get("/news", [&](const auto &, auto &answer) {
-      answer.set_content(dialect.writePage(known.list()), "application/json");
-    });
-    int port = seed.bind_to_any_port("127.0.0.2");
-    std::thread seedThread([&] { seed.listen_after_bind(); });
-    while (!seed.is_running())
-      std::this_thread::sleep_for(1ms);
-
-    EdgeSettings settings;
-    {
-      RegistryServer gone;
-      settings = settingsFor(gone);
-    }
-    settings.Peers.Port = static_cast<uint16_t>(port);
-    settings.Seeds = {{.Ip = Loopback + 1, .Port = 1}};
-    platform::PacketHead framing(settings.Packets.Port);
-    bool ended = false;
-    std::thread edge([&] {
-      ended =
-          chicory::edge::runEdge(settings, "", dialect, framing).has_value();
-    });
-    bool ready = becomes(200, settings.Ready);
-    Socket caller;
-    caller.send(settings.Packets, opening(1000));
-    bool served = server.receive().has_value();
-    std::raise(SIGTERM);
-    edge.join();
-    seed.stop();
-    seedThread.join();
-    expectTrue(ended, "it ends by itself");
-    expectTrue(ready, "it is ready");
-    expectTrue(served, "an opening reaches the server");
-  }
-
   void saysWhyItCannotStart() {
     RegistryServer registry;
     EdgeSettings settings = settingsFor(registry);
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -22,7 +22,6 @@
   CPPUNIT_TEST(listsAgainWhenCopiesDiffer);
   CPPUNIT_TEST(asksASenderForWhatDidNotFit);
   CPPUNIT_TEST(asksTheRegistryWhenASenderCannotTell);
-  CPPUNIT_TEST(servesWhatASeedKnowsUntilTheRegistryAnswers);
   CPPUNIT_TEST(takesALatePushForNoProof);
   CPPUNIT_TEST(backsOffFromAFailingRegistry);
   CPPUNIT_TEST(leavesOutMereRenewals);
@@ -320,43 +319,6 @@
     expectEqual<std::string>("", reading.step(store));
   }
 
-  // Symptom: instances that restart in a zone that is cut off from the registry
-  // serve nobody, while their neighbours serve.
-  // Sequence: the zone is cut off, an instance there is replaced.
-  // Cause: the registry as the only source of a first list.
-  void servesWhatASeedKnowsUntilTheRegistryAnswers() {
-    Store store;
-    store.config(4);
-    store.server(1);
-    Reading reading;
-    expectTrue(!reading.Reader.needsSeed(), "the registry is asked first");
-    reading.fail();
-    expectTrue(reading.Reader.needsSeed(), "it did not answer");
-    reading.Reader.takeSeed(store.list(), reading.Events);
-    section("it serves, and takes nothing for current", [&] {
-      auto events = reading.Events;
-      expectTrue(reading.take<token::BackendsComplete>().size() == 1,
-                 "all is known");
-      reading.Events = events;
-      expectTrue(reading.take<token::NewsChecked>().empty(),
-                 "nobody knows how old it is");
-      expectTrue(reading.Reader.needsSeed(), "and it goes on asking");
-    });
-    store.server(1, "draining");
-    reading.Reader.takeSeed(store.list(), reading.Events);
-    expectTrue(reading.take<token::BackendsLearned>().size() == 1, "a drain");
-    section("the registry answers", [&] {
-      reading.Now += 1s;
-      store.config(5);
-      expectTrue(!reading.step(store).empty(), "a list");
-      expectTrue(!reading.Reader.needsSeed(), "seeds are not needed");
-      auto events = reading.Events;
-      expectTrue(reading.take<token::NewsChecked>().size() == 1, "current");
-      reading.Events = events;
-      expectTrue(reading.take<token::BackendsComplete>().empty(), "told once");
-    });
-  }
-
   // Symptom: a process that was stopped believes to be current.
   // Sequence: it is stopped for seconds; pushes wait in its socket; it goes on.
   // Cause: the age in a push does not count the time in the socket.
