Neighbours tell a restarted instance what they know while the store is away

A zone is cut off from the store and its instances restart one after the other: they know no routes and nobody to ask, drop every packet for four seconds, and the routers use them all the same, since less than half of the zone is ready.

Change: an instance whose news is stale pushes what it has every 0.7 s, to the usual receivers and to instances that left within half a minute. One that has no list and whose call has failed reads from the sender and serves; it takes nothing of that for current.

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -104,6 +104,14 @@
   /// The changes that a push told of could not be read from its sender, so the
   /// registry is asked for them at once.
   void pullFailed() { AskNow = true; }
+  /// What another instance knows, read while the registry has not answered
+  /// since the start. It serves callers, but nobody knows how old it is.
+  void takeSeed(const ItemPage &page, std::vector<token::Event> &out);
+  /// The registry did not answer since the start, and a sender knows more.
+  bool needsSeed(const NewsPush &push) const {
+    return !Complete && Stats.Failures != 0 &&
+           push.Page.Revision > Copy.revision();
+  }
   /// A push with the changes behind a revision.
   NewsPush push(InstanceId self, int64_t since, Time now) const;
   /// The process or its machine stood still: what it believes may be old.
@@ -144,6 +152,8 @@
   Phase State = Phase::Listing;
   bool Waiting = false;
   bool Complete = false;
+  /// Everything is known, though not from the registry.
+  bool Seeded = false;
   /// Everything is being listed beside the watch, and whether a page of that
   /// comes before the next watch.
   bool Reviewing = false;
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -11,6 +11,11 @@
 
 // Peers answer from memory; one that does not is slow or gone.
 constexpr Duration PeerTimeout = std::chrono::milliseconds(500);
+// While the registry is away, how often instances that may have restarted are
+// told what is known: about the pace at which news comes otherwise.
+constexpr Duration RemindEvery = std::chrono::milliseconds(700);
+// An instance that left may be back at its address, as in a rolling restart.
+constexpr Duration FormerFor = std::chrono::seconds(30);
 constexpr Duration RecordTimeout = std::chrono::milliseconds(1500);
 constexpr size_t ReadBytes = 2048;
 constexpr int ReadsAtOnce = 64;
@@ -64,6 +69,7 @@
   callRegistry(now);
   callAnnouncer(now);
   noteRegistry(now);
+  remindOthers(now);
 }
 
 Time NewsDuty::nextAt() const {
@@ -129,13 +135,23 @@
                     return a.first == b.first &&
                            a.second.Peers == b.second.Peers;
                   })) {
-    Known = Reader.peers();
-    Spread.learn(Known);
-    Reader.setPatience(Spread.patience(), Spread.retryMost());
+    takePeers(now);
   }
   Record.seen(Known.contains(InstanceId{Settings.Ip}), now);
 }
 
+void NewsDuty::takePeers(Time now) {
+  for (const auto &[id, peer] : Known)
+    if (!Reader.peers().contains(id))
+      Former[id] = {peer.Peers, now};
+  Known = Reader.peers();
+  std::erase_if(Former, [&](const auto &it) {
+    return Known.contains(it.first) || now - it.second.second > FormerFor;
+  });
+  Spread.learn(Known);
+  Reader.setPatience(Spread.patience(), Spread.retryMost());
+}
+
 void NewsDuty::passNews() {
   if (Pending.empty())
     return;
@@ -200,6 +216,8 @@
 }
 
 void NewsDuty::takePush(const NewsPush &push, Time now) {
+  if (Reader.needsSeed(push))
+    return pullSeed(push.Sender);
   Time before = Reader.currentAt();
   std::vector<token::Event> news;
   bool behind = Reader.takePush(push, now < LateUntil, now, news);
@@ -238,11 +256,7 @@
   auto it = Known.find(from);
   if (it == Known.end() || (Peer && Peer->busy()))
     return;
-  if (!Peer || PeerId != from) {
-    // News is read over TCP, on the port of the same number.
-    Peer = std::make_unique<HttpClient>(Events, Settings.Ip, it->second.Peers);
-    PeerId = from;
-  }
+  connectPeer(from, it->second.Peers);
   std::string target = "/news";
   if (!whole)
     target += "?after=" + std::to_string(Reader.mirror().revision());
@@ -252,6 +266,54 @@
              });
 }
 
+void NewsDuty::connectPeer(InstanceId id, Address at) {
+  if (Peer && PeerId == id)
+    return;
+  // News is read over TCP, on the port of the same number.
+  Peer = std::make_unique<HttpClient>(Events, Settings.Ip, at);
+  PeerId = id;
+}
+
+/// An instance that starts while the registry is away, or in a zone that is cut
+/// off from it, knows nothing and nobody: it drops all packets, and one sees
+/// `not_current` with `rules=0`. Its neighbours still have its record, and all
+/// that it needs; so they go on telling it that they are there.
+void NewsDuty::remindOthers(Time now) {
+  if (!Reader.complete() || !Reader.away(now) || now < RemindAt)
+    return;
+  RemindAt = now + RemindEvery;
+  sendPush(true, now);
+  NewsPush push =
+      Reader.push(InstanceId{Settings.Ip}, Reader.mirror().revision(), now);
+  std::string bytes = encodePush(push);
+  for (const auto &[id, left] : Former)
+    if (now - left.second <= FormerFor)
+      send(bytes, left.first);
+}
+
+void NewsDuty::pullSeed(InstanceId from) {
+  if (Peer && Peer->busy())
+    return;
+  // No record says so yet, but all instances use one port.
+  connectPeer(from, {.Ip = from.Value, .Port = Settings.Peers.Port});
+  Peer->call({.Target = "/news", .Timeout = PeerTimeout},
+             [this](const HttpClient::Result &it) { takeSeed(it); });
+}
+
+void NewsDuty::takeSeed(const HttpClient::Result &result) {
+  LogLine line("news_from_peer");
+  line.with("peer", formatIp(PeerId.Value));
+  if (!result)
+    return Lines.write(line.with("why", httpFailureName(result.error())));
+  auto page = Dialect.readPage(result->Body);
+  if (result->Status != HttpOk || !page)
+    return Lines.write(line.with("status", result->Status));
+  std::vector<token::Event> news;
+  Reader.takeSeed(*page, news);
+  Lines.write(line.with("revision", page->Revision));
+  tell(std::move(news), steadyNow());
+}
+
 void NewsDuty::takePulled(const HttpClient::Result &result, InstanceId from,
                           bool whole) {
   if (!result) {
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -58,6 +58,11 @@
   void shareDoubts(Time now);
   void sendDoubt(token::BackendId id, bool own);
   void pull(InstanceId from, bool whole);
+  void pullSeed(InstanceId from);
+  void takeSeed(const HttpClient::Result &result);
+  void connectPeer(InstanceId id, Address at);
+  void remindOthers(Time now);
+  void takePeers(Time now);
   void takePulled(const HttpClient::Result &result, InstanceId from,
                   bool whole);
   void sendPush(bool asked, Time now);
@@ -80,6 +85,10 @@
   std::unique_ptr<HttpClient> Peer;
   InstanceId PeerId;
   std::deque<token::Event> Pending;
+  /// Instances whose records have ended, and when: they may be back.
+  std::map<InstanceId, std::pair<Address, Time>> Former;
+  /// When others are next told what is known here, while nothing is new.
+  Time RemindAt;
   /// Peers as last told to the spread and the packet thread.
   std::map<InstanceId, PeerRecord> Known;
   /// The revision that the last push led to.
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -122,7 +122,7 @@
   }
   tell(Copy.replaceAll(Pages, Faults), out);
   showCurrent(ListStartedAt, out);
-  if (!Complete)
+  if (!Complete && !Seeded)
     out.emplace_back(token::BackendsComplete{});
   Pages = {};
   After.clear();
@@ -182,6 +182,15 @@
   tell(whole ? Copy.replaceAll(page, Faults) : Copy.apply(page, Faults), out);
 }
 
+void NewsReader::takeSeed(const ItemPage &page,
+                          std::vector<token::Event> &out) {
+  if (Complete || page.Revision <= Copy.revision())
+    return;
+  tell(Copy.replaceAll(page, Faults), out);
+  if (!std::exchange(Seeded, true))
+    out.emplace_back(token::BackendsComplete{});
+}
+
 NewsPush NewsReader::push(InstanceId self, int64_t since, Time now) const {
   NewsPush out{.Sender = self,
                .Age = now - CurrentAt,
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -133,6 +133,7 @@
 class EdgeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EdgeTest);
   CPPUNIT_TEST(servesAndStops);
+  CPPUNIT_TEST(startsFromAPeerWithoutTheRegistry);
   CPPUNIT_TEST(saysWhyItCannotStart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -217,6 +218,62 @@
     });
   }
 
+  // Another instance, at another address of this host, on the same port, tells
+  // that it is there.
+  void startsFromAPeerWithoutTheRegistry() {
+    Socket server;
+    Store known;
+    known.put(
+        "op/config",
+        R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"records"}]})");
+    known.put("servers/i-7", R"({"service":"records","address":")" +
+                                 formatAddress(server.address()) +
+                                 R"(","zone":"a","slots":2,"state":"ready"})");
+    platform::StoreDialect dialect;
+    httplib::Server peer;
+    peer.Get("/news", [&](const auto &, auto &answer) {
+      answer.set_content(dialect.writePage(known.list()), "application/json");
+    });
+    int port = peer.bind_to_any_port("127.0.0.2");
+    std::thread peerThread([&] { peer.listen_after_bind(); });
+    while (!peer.is_running())
+      std::this_thread::sleep_for(1ms);
+
+    EdgeSettings settings;
+    {
+      RegistryServer gone;
+      settings = settingsFor(gone);
+    }
+    settings.Peers.Port = static_cast<uint16_t>(port);
+    platform::PacketHead framing(settings.Packets.Port);
+    bool ended = false;
+    std::thread edge([&] {
+      ended =
+          chicory::edge::runEdge(settings, "", dialect, framing).has_value();
+    });
+    Socket other;
+    NewsPush push{.Sender = InstanceId{Loopback + 1}};
+    push.Page.Revision = known.revision();
+    std::string bytes = encodePush(push);
+    const auto *raw = reinterpret_cast<const std::byte *>(bytes.data());
+    bool ready = false;
+    for (int n = 0; n < 50 && !ready; ++n) {
+      other.send(settings.Peers, {raw, raw + bytes.size()});
+      std::this_thread::sleep_for(50ms);
+      ready = readyStatus(settings.Ready) == 200;
+    }
+    Socket caller;
+    caller.send(settings.Packets, opening(1000));
+    bool served = server.receive().has_value();
+    std::raise(SIGTERM);
+    edge.join();
+    peer.stop();
+    peerThread.join();
+    expectTrue(ended, "it ends by itself");
+    expectTrue(ready, "it is ready");
+    expectTrue(served, "an opening reaches the server");
+  }
+
   void saysWhyItCannotStart() {
     RegistryServer registry;
     EdgeSettings settings = settingsFor(registry);
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(listsAgainWhenCopiesDiffer);
   CPPUNIT_TEST(asksASenderForWhatDidNotFit);
   CPPUNIT_TEST(asksTheRegistryWhenASenderCannotTell);
+  CPPUNIT_TEST(servesWhatAPeerKnowsUntilTheRegistryAnswers);
   CPPUNIT_TEST(takesALatePushForNoProof);
   CPPUNIT_TEST(backsOffFromAFailingRegistry);
   CPPUNIT_TEST(leavesOutMereRenewals);
@@ -319,6 +320,50 @@
     expectEqual<std::string>("", reading.step(store));
   }
 
+  // Symptom: instances that restart in a zone that is cut off from the registry
+  // serve nobody, while their neighbours serve.
+  // Sequence: the zone is cut off, an instance there is replaced.
+  // Cause: the registry as the only source of a first list.
+  void servesWhatAPeerKnowsUntilTheRegistryAnswers() {
+    Store store;
+    store.config(4);
+    store.server(1);
+    auto pushed = [&] {
+      NewsPush push{.Sender = InstanceId{2}};
+      push.Page.Revision = store.revision();
+      return push;
+    };
+    Reading reading;
+    expectTrue(!reading.Reader.needsSeed(pushed()),
+               "the registry is asked first");
+    reading.fail();
+    expectTrue(reading.Reader.needsSeed(pushed()), "it did not answer");
+    reading.Reader.takeSeed(store.list(), reading.Events);
+    section("it serves, and takes nothing for current", [&] {
+      auto events = reading.Events;
+      expectTrue(reading.take<token::BackendsComplete>().size() == 1,
+                 "all is known");
+      reading.Events = events;
+      expectTrue(reading.take<token::NewsChecked>().empty(),
+                 "nobody knows how old it is");
+      expectTrue(!reading.Reader.needsSeed(pushed()), "there is no more");
+    });
+    store.server(1, "draining");
+    expectTrue(reading.Reader.needsSeed(pushed()), "until something changes");
+    reading.Reader.takeSeed(store.list(), reading.Events);
+    expectTrue(reading.take<token::BackendsLearned>().size() == 1, "a drain");
+    section("the registry answers", [&] {
+      reading.Now += 1s;
+      store.config(5);
+      expectTrue(!reading.step(store).empty(), "a list");
+      expectTrue(!reading.Reader.needsSeed(pushed()), "peers push from now on");
+      auto events = reading.Events;
+      expectTrue(reading.take<token::NewsChecked>().size() == 1, "current");
+      reading.Events = events;
+      expectTrue(reading.take<token::BackendsComplete>().empty(), "told once");
+    });
+  }
+
   // Symptom: a process that was stopped believes to be current.
   // Sequence: it is stopped for seconds; pushes wait in its socket; it goes on.
   // Cause: the age in a push does not count the time in the socket.
