Three probes, and no conclusion after a false alarm

The instance's link was full with a configuration that others read from it. A full link drops some packets and lets others through, so two probes of one server can fail while the one that goes out with them is answered.

Change: three probes in a row, each further one together with one to another server; for 3 s after a server that failed a probe showed life nothing is concluded and nothing reset.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -152,6 +152,8 @@
   void probe(BackendIndex i, Time now, Actions &actions);
   void sendProbe(BackendIndex i, Time now, Actions &actions);
   BackendIndex lastToAnswer(BackendIndex i) const;
+  void probeFailed(BackendIndex i, Time now, Actions &actions);
+  void showedLife(Reach &reach, Time now);
   bool linkWorked(BackendIndex i) const;
   void learnRoundTrip(const std::string &zone, Duration took);
   Duration roundTrip(const std::string &zone) const;
@@ -218,6 +220,8 @@
   Duration RequestWait = Duration::zero();
   /// The longest round trip to each zone's servers lately.
   std::map<std::string, Duration> RoundTrips;
+  /// When a server that had failed a probe last showed life.
+  Time FalseAlarmAt = Time{} - std::chrono::hours(1);
   /// When this process last went on after standing still.
   Time ResumedAt;
   bool SawBackends = false;
--- a/include/chicorybank/token/Reach.h
+++ b/include/chicorybank/token/Reach.h
@@ -8,9 +8,11 @@
 // is opened and closed again, and only probes that fail lead to resets.
 //
 // A full link of this instance's own makes every probe fail. One would notice
-// resets of flows whose servers serve. So the deciding probe goes out together
+// resets of flows whose servers serve. So each further probe goes out together
 // with one to a server that answered lately, and counts only if that one is
-// answered, and in half of the time.
+// answered, and in half of the time. A full link also drops some packets and
+// lets others through: a server that failed a probe and lives all the same
+// shows that, and for a while nothing is concluded.
 
 #ifndef CHICORYBANK_TOKEN_REACH_H
 #define CHICORYBANK_TOKEN_REACH_H
@@ -24,9 +26,14 @@
   /// A probe without an answer fails after this time, at least: some twenty
   /// round trips between zones. On a slow link it is four handshakes.
   Duration Timeout = std::chrono::milliseconds(40);
-  /// The deciding probe comes after one that failed, since that may have been a
-  /// lost packet, and waits for so many times as long.
-  int DecidingFactor = 2;
+  /// Failures in a row that make a server unreachable: two packets of three may
+  /// be lost where a link is full.
+  uint32_t Conclusive = 3;
+  /// Probes after one that failed wait for so many times as long.
+  int FurtherFactor = 2;
+  /// Nothing is concluded for this long after a server that failed a probe
+  /// showed life: about as long as a full link stays full.
+  Duration AfterFalseAlarm = std::chrono::seconds(3);
   /// A server that answered is not asked again for this long.
   Duration Every = std::chrono::milliseconds(250);
   /// A failure is believed for this long. A server that was cut off is back
@@ -42,8 +49,8 @@
 /// What probes have shown of one backend server.
 struct Reach {
   bool Probing = false;
-  /// The last probe failed, so the next one decides.
-  bool Failed = false;
+  /// Probes in a row that failed.
+  uint32_t Failures = 0;
   /// When the first probe of a row was sent, and the last one.
   Time RowBeganAt;
   Time SentAt;
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -28,17 +28,17 @@
     probe(i, now, actions);
 }
 
-/// Probes a server. Where the probe decides, one to a server that answered
-/// lately goes out with it.
+/// Probes a server. After a failure one to a server that answered lately goes
+/// out with it.
 void Core::probe(BackendIndex i, Time now, Actions &actions) {
   Reach &reach = Servers.at(i).Probes;
-  if (!reach.Failed)
+  if (reach.Failures == 0)
     reach.RowBeganAt = now;
   reach.Timeout =
       std::max({Options.Reaching.Timeout, Handshake * HandshakesInTimeout,
                 roundTrip(Servers.at(i).Info.Zone) * RoundTripsInTimeout});
-  if (reach.Failed) {
-    reach.Timeout *= Options.Reaching.DecidingFactor;
+  if (reach.Failures != 0) {
+    reach.Timeout *= Options.Reaching.FurtherFactor;
     BackendIndex other = lastToAnswer(i);
     if (other != NoBackend && !Servers.at(other).Probes.Probing) {
       Servers.at(other).Probes.Timeout = reach.Timeout;
@@ -65,7 +65,7 @@
   for (BackendIndex other = 0; other < Servers.limit(); ++other) {
     const Backend &it = Servers.at(other);
     Time answered = std::max(it.LastProgress, it.Probes.ReachedAt);
-    if (other == i || it.Probes.Failed || answered <= newest)
+    if (other == i || it.Probes.Failures != 0 || answered <= newest)
       continue;
     newest = answered;
     out = other;
@@ -81,7 +81,7 @@
   Reach &reach = backend.Probes;
   reach.Probing = false;
   if (event.Outcome == ProbeOutcome::Reached) {
-    reach.Failed = false;
+    showedLife(reach, now);
     reach.ReachedAt = now;
     learnRoundTrip(backend.Info.Zone, now - reach.SentAt);
     return;
@@ -92,18 +92,28 @@
   ++Stats.ProbesFailed;
   reach.FailedAt = now;
   // Its answers go to callers directly, so they may show life all the same.
-  if (backend.LastProgress >= reach.RowBeganAt) {
-    reach.Failed = false;
-    return;
-  }
+  if (backend.LastProgress >= reach.RowBeganAt)
+    return showedLife(reach, now);
+  probeFailed(i, now, actions);
+}
+
+void Core::showedLife(Reach &reach, Time now) {
+  if (std::exchange(reach.Failures, 0) != 0)
+    FalseAlarmAt = now;
+}
+
+void Core::probeFailed(BackendIndex i, Time now, Actions &actions) {
+  Backend &backend = Servers.at(i);
+  Reach &reach = backend.Probes;
   suspect(i, now, actions);
-  bool decides = std::exchange(reach.Failed, true);
-  if (!decides)
-    return probe(i, now, actions);
   // How long an answer from a zone takes that was never heard is not known.
   bool knownDistance = backend.Info.Zone == Options.Zone ||
                        RoundTrips.contains(backend.Info.Zone);
-  if (!knownDistance || !linkWorked(i))
+  if (reach.Failures != 0 && (!knownDistance || !linkWorked(i)))
+    return;
+  if (++reach.Failures < Options.Reaching.Conclusive)
+    return probe(i, now, actions);
+  if (now - FalseAlarmAt < Options.Reaching.AfterFalseAlarm)
     return;
   reach.UnreachableUntil = now + Options.Reaching.BelieveFor;
   decided({.What = "backend_unreachable",
@@ -114,8 +124,8 @@
   resetRequestsOf(i, now, actions);
 }
 
-/// The other instance's two probes stand for the first one here, so the next
-/// one decides. A server that this instance has nothing to do with can wait.
+/// The other instance's probes stand for the first one here. A server that this
+/// instance has nothing to do with can wait.
 void Core::on(const BackendDoubted &event, Time now, Actions &actions) {
   BackendIndex i = Servers.find(event.Id);
   if (i == NoBackend)
@@ -128,7 +138,7 @@
   if (!concerned || asked || reach.Probing)
     return;
   reach.RowBeganAt = now;
-  reach.Failed = true;
+  reach.Failures = 1;
   probe(i, now, actions);
 }
 
@@ -136,7 +146,7 @@
 /// answered, and quickly.
 bool Core::linkWorked(BackendIndex i) const {
   const Reach &reach = Servers.at(i).Probes;
-  Time soon = reach.SentAt + reach.Timeout / Options.Reaching.DecidingFactor;
+  Time soon = reach.SentAt + reach.Timeout / Options.Reaching.FurtherFactor;
   for (BackendIndex other = 0; other < Servers.limit(); ++other) {
     Time reached = Servers.at(other).Probes.ReachedAt;
     if (other != i && reached >= reach.SentAt && reached <= soon)
@@ -164,7 +174,7 @@
 bool Core::resetUnreachable(const FlowPacket &head, BackendIndex i, Time now,
                             Actions &actions) {
   const Reach &reach = Servers.at(i).Probes;
-  if (!reach.Failed)
+  if (reach.Failures == 0)
     return false;
   doubt(i, now, actions);
   const Route *route = Routes.find(head.Route);
