Openings that waited through a pause are dropped

Ruled out: a request sent twice by us (one opening a server). That both ran it was the stand-in's fault: it opened a flow for any acknowledgement. It now opens one only for the acknowledgement of its own sequence, as the users' protocol says, and resets otherwise, which is stricter.

Change: a turn of the packet loop that took longer than it ever waits, by the boot clock, marks the openings in the socket as old; they are dropped and counted. A caller that still waits sends a copy.

--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -81,6 +81,9 @@
             edge.BatchTime);
   single(out, "chicory_bad_packets_total", "counter",
          "Datagrams that can't be read", edge.BadPackets);
+  single(out, "chicory_old_openings_total", "counter",
+         "Openings dropped because they waited while the process stood still",
+         edge.OldOpenings);
   single(out, "chicory_send_failures_total", "counter",
          "Datagrams that the system refused", edge.SendFailures);
   single(out, "chicory_log_lines_dropped_total", "counter",
--- a/lib/edge/PacketDuty.cpp
+++ b/lib/edge/PacketDuty.cpp
@@ -10,6 +10,9 @@
 // How long packets wait for the first news after the start: callers send an
 // opening or data again after 200 ms.
 constexpr Duration HoldAtStart = std::chrono::milliseconds(200);
+// The loop publishes each 250 ms; the rest is for a thread that gets its turn
+// late. A longer turn shows that the process or its machine stood still.
+constexpr Duration LongestTurn = std::chrono::milliseconds(650);
 // Metrics and the ready probe look at figures that are at most this old.
 constexpr Duration PublishEvery = std::chrono::milliseconds(250);
 
@@ -53,7 +56,8 @@
 PacketDuty::PacketDuty(const EdgeSettings &settings, const Framing &framing,
                        FileDescriptor packets, Shared &shared)
     : Frames(framing), Common(shared), Packets(std::move(packets)),
-      Core(settings.Core), Batch(Packets.get()), Probes(Events, settings.Ip) {
+      Core(settings.Core), Batch(Packets.get()), Probes(Events, settings.Ip),
+      Turns(LongestTurn) {
   Common.PacketWakeup.attach(Events);
 }
 
@@ -77,6 +81,7 @@
     Time next = std::min({Core.nextTick(now), PublishAt, Probes.nextAt()});
     Events.wait(std::max(next - now, Duration::zero()));
     now = steadyNow();
+    Turns.turn(bootTimeNow());
     takeNews(now);
     beginReading(now);
     takeProbes(now);
@@ -97,6 +102,8 @@
   int count = ::recvmmsg(Packets.get(), messages.data(), SendBatch::Size,
                          MSG_DONTWAIT, nullptr);
   Time now = steadyNow();
+  if (Turns.stoodStill(bootTimeNow()))
+    OldOpenings = true;
   for (int n = 0; n < count; ++n) {
     token::Bytes raw(Received[n].data(), messages[n].msg_len);
     auto head = Frames.read(raw);
@@ -104,8 +111,17 @@
       ++Stats.BadPackets;
       continue;
     }
+    // A copy of an old opening may have opened the flow elsewhere meanwhile. A
+    // second server that answers would get the flow's token; a caller that
+    // still waits sends a copy.
+    if (OldOpenings && head->Open) {
+      ++Stats.OldOpenings;
+      continue;
+    }
     handle(token::PacketSeen{.Head = *head, .Raw = raw}, now);
   }
+  if (count < static_cast<int>(SendBatch::Size))
+    OldOpenings = false;
   Batch.flush();
   Stats.BatchTime.add(steadyNow() - now);
 }
--- a/lib/edge/PacketDuty.h
+++ b/lib/edge/PacketDuty.h
@@ -4,6 +4,7 @@
 #ifndef CHICORYBANK_LIB_EDGE_PACKETDUTY_H
 #define CHICORYBANK_LIB_EDGE_PACKETDUTY_H
 
+#include "PauseWatch.h"
 #include "ReachProbes.h"
 #include "Shared.h"
 
@@ -71,6 +72,9 @@
   /// Until when packets wait for the first news.
   Time HoldUntil;
   bool Reading = false;
+  PauseWatch Turns;
+  /// Openings in the socket may be from before a pause.
+  bool OldOpenings = false;
 };
 
 } // namespace chicory::edge
--- a/lib/edge/Shared.h
+++ b/lib/edge/Shared.h
@@ -23,6 +23,7 @@
   token::CoreStats Core;
   token::Histogram BatchTime;
   uint64_t BadPackets = 0;
+  uint64_t OldOpenings = 0;
   uint64_t SendFailures = 0;
   uint64_t LogsDropped = 0;
   uint64_t Flows = 0;
--- /dev/null
+++ b/tests/PauseWatchTest.cpp
@@ -0,0 +1,32 @@
+#include "edge/PauseWatch.h"
+
+#include "Story.h"
+
+using namespace story;
+using namespace chicory;
+using namespace chicory::edge;
+using namespace std::chrono_literals;
+
+class PauseWatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PauseWatchTest);
+  CPPUNIT_TEST(noticesATurnThatTookTooLong);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Symptom: a caller's flow is open at one server and its token names another.
+  // Sequence: an opening waits in the socket of an instance that stands still;
+  // its copy opens the flow through another instance; the first one goes on and
+  // passes the old opening to a server of its own choice, which answers too.
+  // Cause: what waited in the socket taken for fresh.
+  void noticesATurnThatTookTooLong() {
+    PauseWatch watch(600ms);
+    Time now{100s};
+    expectTrue(!watch.stoodStill(now), "not before the first turn");
+    watch.turn(now);
+    expectTrue(!watch.stoodStill(now + 600ms), "a long turn");
+    expectTrue(watch.stoodStill(now + 601ms), "a pause");
+    watch.turn(now + 2s);
+    expectTrue(!watch.stoodStill(now + 2s), "it is over with the next turn");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PauseWatchTest);
--- a/tools/soaklib/ends.py
+++ b/tools/soaklib/ends.py
@@ -92,6 +92,11 @@
             self.world.flow_ends(key)
             return self._send(packet, wire.ACK, 1, packet.seq + 1)
         if not flow["open"]:
+            if packet.ack != self._sequence() + 1:
+                # The caller has the flow with another server, whose answer to the opening came first.
+                self.flows.pop(key)
+                checks.count("at a second server")
+                return self._send(packet, wire.RST, packet.ack, 0)
             flow["open"] = True
             self.world.flow_opens(key, self)
         if packet.data:
@@ -100,7 +105,11 @@
     def _opened(self, packet, key):
         self.world.opening_arrived(self, key)
         self.flows.setdefault(key, {"open": False})["echo"] = packet.echo
-        self._send(packet, wire.SYN | wire.ACK, 1000 + self.ident % 1000, packet.seq + 1)
+        self._send(packet, wire.SYN | wire.ACK, self._sequence(), packet.seq + 1)
+
+    def _sequence(self):
+        """Its own first sequence number, by which a caller's answer shows whose the flow is."""
+        return 1000 + self.ident % (1 << 30)
 
     async def _run(self, packet, key):
         request = packet.data
