Soak: instances' ports lie below those that the system hands out

Ports were chosen by asking the system for a free one and letting it go; the proxies of this run and of the others listen on ports that the system hands out, at the same addresses.

Ruled out: the product (no earlier process of it had the port; it never started). Which proxy had it was not recorded.

Change: ports from 10000 to 31999.

--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -34,10 +34,20 @@
 """
 
 
+# Below the ports that the system hands out: proxies of this run and of others listen there at the instances'
+# addresses, and one of them could take a port that an instance needs.
+OWN_PORTS = range(10000, 32000)
+
+
 def free_port():
-    with socket.socket() as it:
-        it.bind(("127.0.0.1", 0))
-        return it.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(OWN_PORTS)
+        with socket.socket() as it:
+            try:
+                it.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Instance:
