One check of when a server may be probed; apply is a preview and a revision

Two conditions stood twice: when a server may be probed (a doubt of our own and one that was heard) and how a page's items are taken into the copy.

One that was reached just before a false alarm still resets repeatable requests of that server for up to 600 ms. Not changed here.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -148,6 +148,7 @@
   void missed(BackendIndex i, Time now, Actions &actions);
   void suspect(BackendIndex i, Time now, Actions &actions);
 
+  bool mayProbe(const Reach &reach, Time now) const;
   void doubt(BackendIndex i, Time now, Actions &actions);
   void probe(BackendIndex i, Time now, Actions &actions);
   void sendProbe(BackendIndex i, Time now, Actions &actions);
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -106,9 +106,7 @@
 }
 
 std::vector<Change> Mirror::apply(const ItemPage &page, Findings &findings) {
-  std::vector<Change> out;
-  for (const Item &it : page.Items)
-    take(it, page, findings, out);
+  std::vector<Change> out = preview(page, findings);
   Revision = std::max(Revision, page.Revision);
   return out;
 }
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -19,12 +19,15 @@
 
 } // namespace
 
+/// No probe of it is under way, and none has ended just now.
+bool Core::mayProbe(const Reach &reach, Time now) const {
+  Time endedAt = std::max(reach.ReachedAt, reach.FailedAt);
+  return !reach.Probing && now - endedAt >= Options.Reaching.Every;
+}
+
 /// Something sent to a server has no answer yet. That alone proves nothing.
 void Core::doubt(BackendIndex i, Time now, Actions &actions) {
-  const Reach &reach = Servers.at(i).Probes;
-  bool asked =
-      now - std::max(reach.ReachedAt, reach.FailedAt) < Options.Reaching.Every;
-  if (!reach.Probing && !asked)
+  if (mayProbe(Servers.at(i).Probes, now))
     probe(i, now, actions);
 }
 
@@ -133,9 +136,7 @@
   Backend &backend = Servers.at(i);
   Reach &reach = backend.Probes;
   bool concerned = backend.Flows != 0 || backend.Info.Zone == Options.Zone;
-  bool asked =
-      now - std::max(reach.ReachedAt, reach.FailedAt) < Options.Reaching.Every;
-  if (!concerned || asked || reach.Probing)
+  if (!concerned || !mayProbe(reach, now))
     return;
   reach.RowBeganAt = now;
   reach.Failures = 1;
