Record of routes: flows outlive a route's change together with restarts

Ruled out: packet loss and servers that end (the servers serve the same flows through instances that did not restart).

Change: pairs of address and service stand in the registry, written seconds after they come into force, under a condition; lists, pushes and pages carry them; what a start reads there and not among the routes counts as lost now.

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -120,6 +120,10 @@
   /// Faults in items, since the last call of this.
   Findings takeFindings() { return std::exchange(Faults, {}); }
   const std::map<InstanceId, PeerRecord> &peers() const { return Peers; }
+  /// What is recorded of routes, by part.
+  const std::map<uint32_t, RouteRecord> &routeRecords() const {
+    return RouteRecords;
+  }
   /// Everything was read at least once.
   bool complete() const { return Complete; }
   /// The news is older than it ever is while the registry answers.
@@ -177,6 +181,7 @@
   ItemPage Pages;
   Time ListStartedAt;
   std::map<InstanceId, PeerRecord> Peers;
+  std::map<uint32_t, RouteRecord> RouteRecords;
   Findings Faults;
   NewsStats Stats;
 };
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -56,9 +56,24 @@
   bool Gone = false;
 };
 
+/// The record of what routes lead to and have led to is kept in so many items,
+/// by a hash of the address: a change rewrites one of them, which is some 12 kB
+/// at 5,700 addresses.
+inline constexpr uint32_t RouteRecordParts = 16;
+
+/// One part of that record (`RouteLedger.h`).
+struct RouteRecord {
+  uint32_t Part = 0;
+  std::vector<token::RoutePair> Pairs;
+  /// The item's revision; zero where there is none.
+  int64_t Revision = 0;
+
+  bool operator==(const RouteRecord &) const = default;
+};
+
 /// What one item says; `monostate` for items that don't concern an instance.
 using News = std::variant<std::monostate, token::RouteSet, token::Registration,
-                          RegistrationEnded, PeerRecord>;
+                          RegistrationEnded, PeerRecord, RouteRecord>;
 
 /// A request to the registry, ready to be sent.
 struct RegistryCall {
@@ -92,6 +107,11 @@
   virtual RegistryCall announce(const PeerRecord &self,
                                 int64_t lease) const = 0;
 
+  /// Writes parts of the record of routes, each only where its item still has
+  /// the revision that is named; all of them or none.
+  virtual RegistryCall
+  writeRouteRecords(const std::vector<RouteRecord> &records) const = 0;
+
   /// What an item says. Faults go to the findings with their place; what can
   /// be read is returned all the same.
   virtual News translate(const Item &item, Findings &findings) const = 0;
--- /dev/null
+++ b/include/chicorybank/edge/RouteLedger.h
@@ -0,0 +1,79 @@
+// What each route leads to and has led to, as it is recorded in the registry.
+//
+// What goes wrong without: an operator moves a route to another service; open
+// flows stay where they are. Then instances restart, one by one or all at once.
+// A new process has only ever read the new version, so it takes the tokens of
+// the old flows for forged ones and drops their packets. One notices
+// `foreign_token` after restarts; callers wait until their deadlines.
+//
+// The record holds pairs of an address and a service. A pair that the routes in
+// force have is written soon after it came into force, well before it can be
+// lost; so whoever starts learns from the record alone what a version that it
+// has never seen led to, even if all processes ended with the very change. No
+// time is written: each instance counts a pair as lost from when it first saw
+// it missing from the routes. Clocks, and the order in which a late write
+// arrives, change nothing.
+//
+//   RouteLedger ledger;
+//   ledger.learn(routes, now);
+//   ledger.learn(reader.routeRecords(), maxFlowAge, now);
+//   for (const RouteRecord &it : ledger.wanted(stored, maxFlowAge, now)) ...
+
+#ifndef CHICORYBANK_EDGE_ROUTELEDGER_H
+#define CHICORYBANK_EDGE_ROUTELEDGER_H
+
+#include "chicorybank/edge/Registry.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace chicory::edge {
+
+/// The parts that the registry holds, by number.
+using RouteRecords = std::map<uint32_t, RouteRecord>;
+
+/// Knows what the record should say. It does no I/O.
+class RouteLedger {
+public:
+  /// Services that one address has lost and that are kept, the latest ones. It
+  /// bounds a part to some 60 kB where routes move all day and flows live for
+  /// hours; an address that moves more often loses its oldest flows at a
+  /// restart.
+  static constexpr size_t MostLost = 8;
+
+  /// A version came into force. Older ones are ignored.
+  void learn(const token::RouteSet &routes, Time now);
+  /// The record was read: it may know pairs that this instance does not.
+  /// Pairs that were lost longer ago than a flow lives are forgotten once they
+  /// are out of the record.
+  void learn(const RouteRecords &stored, Duration maxFlowAge, Time now);
+  /// The parts that lack a pair, as they should be, each with the revision
+  /// that its item has. A pair too many is no reason to write.
+  std::vector<RouteRecord> missingFrom(const RouteRecords &stored,
+                                       Duration maxFlowAge, Time now) const;
+
+  /// The part that holds an address.
+  static uint32_t partOf(Address where);
+
+private:
+  struct Entry {
+    ServiceId Service;
+    /// Nothing while the route leads there.
+    std::optional<Time> LostAt;
+  };
+  using Entries = std::vector<Entry>;
+
+  static void boundLost(Entries &entries);
+  static bool expired(const Entry &entry, Duration maxFlowAge, Time now) {
+    return entry.LostAt && now - *entry.LostAt > maxFlowAge;
+  }
+
+  RuleVersion Version;
+  std::map<Address, Entries> Pairs;
+};
+
+} // namespace chicory::edge
+
+#endif
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -120,6 +120,7 @@
 
   void on(const PacketSeen &event, Time now, Actions &actions);
   void on(const RoutesLearned &event, Time now, Actions &actions);
+  void on(const PastRoutesLearned &event, Time now, Actions &actions);
   void on(const BackendsLearned &event, Time now, Actions &actions);
   void on(const BackendsComplete &event, Time now, Actions &actions);
   void on(const NewsChecked &event, Time now, Actions &actions);
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -25,6 +25,11 @@
   RouteSet Routes;
 };
 
+/// What routes have led to was read. May come before the routes themselves.
+struct PastRoutesLearned {
+  std::vector<RoutePair> Pairs;
+};
+
 /// Registrations of backend servers were read.
 struct BackendsLearned {
   /// New or changed ones.
@@ -70,9 +75,9 @@
 /// Time passes; send one every few milliseconds while flows are opening.
 struct Tick {};
 
-using Event =
-    std::variant<PacketSeen, RoutesLearned, BackendsLearned, BackendsComplete,
-                 NewsChecked, BoundsChanged, ProbeEnded, BackendDoubted, Tick>;
+using Event = std::variant<PacketSeen, RoutesLearned, PastRoutesLearned,
+                           BackendsLearned, BackendsComplete, NewsChecked,
+                           BoundsChanged, ProbeEnded, BackendDoubted, Tick>;
 
 /// Send the packet to a backend server, with this token in it.
 struct Forward {
--- a/include/chicorybank/token/Routes.h
+++ b/include/chicorybank/token/Routes.h
@@ -30,6 +30,14 @@
   bool Idempotent = false;
 };
 
+/// An address and a service to which its route leads or has led.
+struct RoutePair {
+  Address Where;
+  ServiceId Service;
+
+  auto operator<=>(const RoutePair &) const = default;
+};
+
 /// One accepted version of the configuration.
 struct RouteSet {
   RuleVersion Version;
@@ -51,6 +59,18 @@
   /// versions never go back, whichever way the news took.
   bool learn(const RouteSet &routes, Time now);
 
+  /// Takes what other instances have seen routes lead to (`RouteLedger.h`).
+  ///
+  /// What goes wrong without: an instance that starts after a route has moved
+  /// has only read the new version, so it takes the tokens of all older flows
+  /// for forged ones. One sees `foreign_token` after restarts, and callers that
+  /// wait until their deadlines.
+  ///
+  /// A pair that the route does not lead to now counts as lost now: the time is
+  /// not told, and a pair that is kept for too long harms nobody, because the
+  /// route did lead there.
+  void learnPast(const std::vector<RoutePair> &pairs, Time now);
+
   RuleVersion version() const { return Version; }
   Duration idleTimeout() const { return IdleTimeout; }
   /// The route of an address, or null.
@@ -68,7 +88,12 @@
     ServiceId Service;
     Time LostAt;
   };
+  bool leadsTo(const RoutePair &pair) const;
+  /// The route has led there while a flow that still lives could open.
+  bool hasLost(const RoutePair &pair, Time now) const;
   void remember(const Route &old, Time now);
+  /// A route has lost a service, or lost it again.
+  void lose(Address where, ServiceId service, Time now);
 
   Duration MaxFlowAge;
   Duration IdleTimeout = std::chrono::seconds(60);
--- a/lib/edge/Http.h
+++ b/lib/edge/Http.h
@@ -18,6 +18,7 @@
 inline constexpr int HttpOk = 200;
 inline constexpr int HttpNotFound = 404;
 inline constexpr int HttpGone = 410;
+inline constexpr int HttpPreconditionFailed = 412;
 inline constexpr int HttpTooMany = 429;
 inline constexpr int HttpUnavailable = 503;
 
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -47,7 +47,8 @@
 } // namespace
 
 std::string renderEdgeMetrics(const EdgeStats &edge, const NewsStats &news,
-                              const PeerStats &peers) {
+                              const PeerStats &peers,
+                              const RouteRecorderStats &recorder) {
   std::ostringstream out;
   byReason(out, "chicory_drops_total", "Packets dropped, by reason",
            edge.Core.Drops);
@@ -100,6 +101,14 @@
          "Answers that can't be read", news.BadAnswers);
   single(out, "chicory_bad_registry_items_total", "counter",
          "Items that can't be read", news.BadItems);
+  single(out, "chicory_route_record_writes_total", "counter",
+         "Writes of the record of routes that held", recorder.Written);
+  single(out, "chicory_route_record_refused_total", "counter",
+         "Writes of the record of routes after another instance's",
+         recorder.Refused);
+  single(out, "chicory_route_record_failures_total", "counter",
+         "Writes of the record of routes without a good answer",
+         recorder.Failed);
   single(out, "chicory_news_pushes_total", "counter",
          "Pushes of news from other instances", news.Pushes);
   single(out, "chicory_news_pulls_total", "counter",
@@ -126,8 +135,8 @@
 
 HttpAnswer answerMetrics(Shared &shared, const NewsDuty &news) {
   return {.Status = HttpOk,
-          .Body =
-              renderEdgeMetrics(shared.stats(), news.stats(), news.peerStats()),
+          .Body = renderEdgeMetrics(shared.stats(), news.stats(),
+                                    news.peerStats(), news.recorderStats()),
           .ContentType = "text/plain; version=0.0.4"};
 }
 
--- a/lib/edge/Metrics.h
+++ b/lib/edge/Metrics.h
@@ -11,7 +11,8 @@
 
 /// All figures as text.
 std::string renderEdgeMetrics(const EdgeStats &edge, const NewsStats &news,
-                              const PeerStats &peers);
+                              const PeerStats &peers,
+                              const RouteRecorderStats &recorder);
 
 /// Answers "/metrics".
 HttpAnswer answerMetrics(Shared &shared, const NewsDuty &news);
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -39,6 +39,12 @@
   uint64_t operator()(const PeerRecord &news) const {
     return mixHash(news.Id.Value, news.Peers.packed());
   }
+  uint64_t operator()(const RouteRecord &news) const {
+    uint64_t out = news.Part;
+    for (const token::RoutePair &it : news.Pairs)
+      out = mixHash(mixHash(out, it.Where.packed()), it.Service.Value);
+    return out;
+  }
 };
 
 uint64_t digestOf(const Item &item, const News &news) {
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -52,7 +52,7 @@
               .Zone = settings.Zone,
               .Peers = settings.Peers},
              {}),
-      Registry(loop, settings.Ip, settings.Registry),
+      Recorder(dialect), Registry(loop, settings.Ip, settings.Registry),
       RecordCalls(loop, settings.Ip, settings.Registry) {
   Events.watch(Socket.get(), EPOLLIN, [this](uint32_t) { readPushes(); });
 }
@@ -68,6 +68,7 @@
     return;
   callRegistry(now);
   callAnnouncer(now);
+  callRecorder(now);
   noteRegistry(now);
   remindOthers(now);
 }
@@ -82,6 +83,8 @@
     out = std::min(out, Reader.nextAt());
   if (!RecordCalls.busy() && Reader.complete())
     out = std::min(out, Record.nextAt());
+  if (mayRecord(steadyNow()))
+    out = std::min(out, Recorder.nextAt(Spread.patience()));
   return out;
 }
 
@@ -108,6 +111,40 @@
                    });
 }
 
+/// What was not read yet must not be taken for missing, and calls to a registry
+/// that is away are wasted.
+bool NewsDuty::mayRecord(Time now) const {
+  return !RecordCalls.busy() && Reader.complete() && !Reader.away(now);
+}
+
+void NewsDuty::callRecorder(Time now) {
+  if (!mayRecord(now))
+    return;
+  std::optional<RegistryCall> call = Recorder.next(Spread.patience(), now);
+  if (!call)
+    return;
+  RecordCalls.call(
+      httpCall(std::move(*call), RecordTimeout),
+      [this](const HttpClient::Result &it) {
+        NewsAnswer answer = plain(it);
+        Recorder.answered(answer, steadyNow());
+        Lines.write(LogLine("routes_recorded").with("status", answer.Status));
+      });
+}
+
+void NewsDuty::recordRoutes(const std::vector<token::Event> &news, Time now) {
+  bool changed = false;
+  for (const token::Event &it : news) {
+    const auto *routes = std::get_if<token::RoutesLearned>(&it);
+    if (routes)
+      Recorder.learn(routes->Routes, now);
+    changed = changed || routes ||
+              std::holds_alternative<token::PastRoutesLearned>(it);
+  }
+  if (changed)
+    Recorder.learn(Reader.routeRecords(), Settings.Core.MaxFlowAge, now);
+}
+
 void NewsDuty::takeAnswer(const HttpClient::Result &result) {
   Time now = steadyNow();
   std::vector<token::Event> news;
@@ -123,6 +160,7 @@
 }
 
 void NewsDuty::tell(std::vector<token::Event> news, Time now) {
+  recordRoutes(news, now);
   for (token::Event &it : news)
     Pending.push_back(std::move(it));
   passNews();
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -12,6 +12,7 @@
 #include "chicorybank/edge/DoubtLog.h"
 #include "chicorybank/edge/FragmentAssembler.h"
 #include "chicorybank/edge/NewsSpread.h"
+#include "chicorybank/edge/RouteRecorder.h"
 #include "chicorybank/edge/Settings.h"
 
 #include <deque>
@@ -46,10 +47,14 @@
   void leave();
   const NewsStats &stats() const { return Reader.stats(); }
   const PeerStats &peerStats() const { return Traffic; }
+  const RouteRecorderStats &recorderStats() const { return Recorder.stats(); }
 
 private:
   void callRegistry(Time now);
   void callAnnouncer(Time now);
+  bool mayRecord(Time now) const;
+  void callRecorder(Time now);
+  void recordRoutes(const std::vector<token::Event> &news, Time now);
   void takeAnswer(const HttpClient::Result &result);
   void readPushes();
   void takePush(const NewsPush &push, Time now);
@@ -80,6 +85,7 @@
   NewsReader Reader;
   NewsSpread Spread;
   Announcer Record;
+  RouteRecorder Recorder;
   HttpClient Registry;
   HttpClient RecordCalls;
   std::unique_ptr<HttpClient> Peer;
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -219,6 +219,9 @@
         return other.Id == ended->Id;
       });
       servers.Ended.push_back(ended->Id);
+    } else if (auto *record = std::get_if<RouteRecord>(&it.Meaning)) {
+      out.emplace_back(token::PastRoutesLearned{record->Pairs});
+      RouteRecords[record->Part] = std::move(*record);
     } else if (auto *peer = std::get_if<PeerRecord>(&it.Meaning)) {
       if (peer->Gone)
         Peers.erase(peer->Id);
--- /dev/null
+++ b/lib/edge/RouteLedger.cpp
@@ -0,0 +1,111 @@
+#include "chicorybank/edge/RouteLedger.h"
+
+#include "chicorybank/base/Hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace chicory::edge {
+
+namespace {
+
+std::set<token::RoutePair> pairsOf(const RouteRecords &stored) {
+  std::set<token::RoutePair> out;
+  for (const auto &[part, record] : stored)
+    out.insert(record.Pairs.begin(), record.Pairs.end());
+  return out;
+}
+
+std::set<token::RoutePair> pairsOf(const token::RouteSet &routes) {
+  std::set<token::RoutePair> out;
+  std::set<Address> seen;
+  for (const token::Route &it : routes.Routes) {
+    // The first match decides.
+    if (!seen.insert(it.Where).second)
+      continue;
+    for (const token::WeightedService &service : it.Services)
+      out.insert({.Where = it.Where, .Service = service.Service});
+  }
+  return out;
+}
+
+} // namespace
+
+uint32_t RouteLedger::partOf(Address where) {
+  return static_cast<uint32_t>(mixHash(1, where.packed()) % RouteRecordParts);
+}
+
+void RouteLedger::learn(const token::RouteSet &routes, Time now) {
+  if (routes.Version <= Version)
+    return;
+  Version = routes.Version;
+  std::set<token::RoutePair> current = pairsOf(routes);
+  for (auto &[where, entries] : Pairs) {
+    for (Entry &it : entries) {
+      if (current.erase({.Where = where, .Service = it.Service}) != 0)
+        it.LostAt.reset();
+      else if (!it.LostAt)
+        it.LostAt = now;
+    }
+    boundLost(entries);
+  }
+  for (const token::RoutePair &it : current)
+    Pairs[it.Where].push_back({.Service = it.Service, .LostAt = {}});
+}
+
+void RouteLedger::learn(const RouteRecords &stored, Duration maxFlowAge,
+                        Time now) {
+  std::set<token::RoutePair> recorded = pairsOf(stored);
+  for (auto &[where, entries] : Pairs)
+    std::erase_if(entries, [&](const Entry &it) {
+      bool kept = recorded.erase({.Where = where, .Service = it.Service}) != 0;
+      return !kept && expired(it, maxFlowAge, now);
+    });
+  for (const token::RoutePair &it : recorded) {
+    Entries &entries = Pairs[it.Where];
+    entries.push_back({.Service = it.Service, .LostAt = now});
+    boundLost(entries);
+  }
+  std::erase_if(Pairs, [](const auto &it) { return it.second.empty(); });
+}
+
+void RouteLedger::boundLost(Entries &entries) {
+  auto lost = [](const Entry &it) { return it.LostAt.has_value(); };
+  while (static_cast<size_t>(
+             std::count_if(entries.begin(), entries.end(), lost)) > MostLost)
+    entries.erase(std::min_element(entries.begin(), entries.end(),
+                                   [](const Entry &a, const Entry &b) {
+                                     return a.LostAt.value_or(Time::max()) <
+                                            b.LostAt.value_or(Time::max());
+                                   }));
+}
+
+std::vector<RouteRecord> RouteLedger::missingFrom(const RouteRecords &stored,
+                                                  Duration maxFlowAge,
+                                                  Time now) const {
+  std::set<token::RoutePair> recorded = pairsOf(stored);
+  std::map<uint32_t, RouteRecord> wanted;
+  std::set<uint32_t> lacking;
+  for (const auto &[where, entries] : Pairs) {
+    uint32_t part = partOf(where);
+    for (const Entry &it : entries) {
+      if (expired(it, maxFlowAge, now))
+        continue;
+      token::RoutePair pair{.Where = where, .Service = it.Service};
+      wanted[part].Pairs.push_back(pair);
+      if (!recorded.contains(pair))
+        lacking.insert(part);
+    }
+  }
+  std::vector<RouteRecord> out;
+  for (uint32_t part : lacking) {
+    auto old = stored.find(part);
+    RouteRecord &record = wanted[part];
+    record.Part = part;
+    record.Revision = old == stored.end() ? 0 : old->second.Revision;
+    out.push_back(std::move(record));
+  }
+  return out;
+}
+
+} // namespace chicory::edge
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -196,6 +196,10 @@
   decided({.What = "routes_in_force"}, now, actions);
 }
 
+void Core::on(const PastRoutesLearned &event, Time now, Actions & /*actions*/) {
+  Routes.learnPast(event.Pairs, now);
+}
+
 void Core::on(const BackendsLearned &event, Time now, Actions &actions) {
   for (const Registration &it : event.Present)
     if (Servers.learn(it, now))
--- a/lib/token/Routes.cpp
+++ b/lib/token/Routes.cpp
@@ -39,10 +39,32 @@
   for (const WeightedService &it : old.Services) {
     if (found != Current.end() && serves(found->second, it.Service))
       continue;
-    Past[old.Where.packed()].push_back({.Service = it.Service, .LostAt = now});
+    lose(old.Where, it.Service, now);
   }
 }
 
+void RouteTable::lose(Address where, ServiceId service, Time now) {
+  std::vector<Former> &past = Past[where.packed()];
+  auto it = std::find_if(past.begin(), past.end(), [&](const Former &other) {
+    return other.Service == service;
+  });
+  if (it == past.end())
+    past.push_back({.Service = service, .LostAt = now});
+  else
+    it->LostAt = now;
+}
+
+void RouteTable::learnPast(const std::vector<RoutePair> &pairs, Time now) {
+  for (const RoutePair &it : pairs)
+    if (!leadsTo(it) && !hasLost(it, now))
+      lose(it.Where, it.Service, now);
+}
+
+bool RouteTable::leadsTo(const RoutePair &pair) const {
+  const Route *route = find(pair.Where);
+  return route && serves(*route, pair.Service);
+}
+
 const Route *RouteTable::find(Address where) const {
   auto it = Current.find(where.packed());
   return it == Current.end() ? nullptr : &it->second;
@@ -53,14 +75,17 @@
   // A removed route takes its flows with it.
   if (!route)
     return false;
-  if (serves(*route, service))
-    return true;
-  auto past = Past.find(where.packed());
+  return serves(*route, service) ||
+         hasLost({.Where = where, .Service = service}, now);
+}
+
+bool RouteTable::hasLost(const RoutePair &pair, Time now) const {
+  auto past = Past.find(pair.Where.packed());
   if (past == Past.end())
     return false;
   return std::any_of(
       past->second.begin(), past->second.end(), [&](const Former &it) {
-        return it.Service == service && now - it.LostAt <= MaxFlowAge;
+        return it.Service == pair.Service && now - it.LostAt <= MaxFlowAge;
       });
 }
 
--- a/tests/RouteTableTest.cpp
+++ b/tests/RouteTableTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(letsTheFirstMatchDecide);
   CPPUNIT_TEST(remembersServicesWhileFlowsMayLive);
   CPPUNIT_TEST(tellsRemovedFromNeverThere);
+  CPPUNIT_TEST(learnsFromOthersWhatRoutesLedTo);
   CPPUNIT_TEST_SUITE_END();
 
   // Symptom: a dropped route serves again.
@@ -85,6 +86,49 @@
     Address other{.Ip = FeedAddress.Ip, .Port = 80};
     expectTrue(!table.wasRemoved(other), "this one never did");
   }
+
+  // Symptom: the packets of old flows are dropped as `foreign_token` by an
+  // instance that has restarted.
+  // Sequence: the route moves from records to certificates; a process starts
+  // and reads the new version and the record of routes, in either order.
+  // Cause: the process had never read the version that led to records.
+  void learnsFromOthersWhatRoutesLedTo() {
+    const std::vector<RoutePair> led{{FeedAddress, Records}};
+    section("the record before the routes", [&] {
+      RouteTable table(60s);
+      table.learnPast(led, Start);
+      table.learn(routes(2, {{.Service = Certificates}}), Start);
+      expectTrue(table.mayReach(FeedAddress, Records, Start), "an old flow");
+      expectTrue(!table.mayReach(FeedAddress, Records, Start + 61s),
+                 "not for ever");
+    });
+    section("the routes before the record", [&] {
+      RouteTable table(60s);
+      table.learn(routes(2, {{.Service = Certificates}}), Start);
+      expectTrue(!table.mayReach(FeedAddress, Records, Start), "not known yet");
+      table.learnPast(led, Start + 1s);
+      expectTrue(table.mayReach(FeedAddress, Records, Start + 60s), "known");
+      section("the record once more does not lengthen the time", [&] {
+        table.learnPast(led, Start + 50s);
+        expectTrue(!table.mayReach(FeedAddress, Records, Start + 62s), "over");
+      });
+    });
+    section("a route that is gone takes its flows with it all the same", [&] {
+      RouteTable table(60s);
+      table.learnPast(led, Start);
+      table.learn(routes(2, {}), Start);
+      expectTrue(!table.mayReach(FeedAddress, Records, Start), "not carried");
+      expectTrue(table.wasRemoved(FeedAddress), "and its caller can be told");
+    });
+    section("a service that the route leads to again is lost anew", [&] {
+      RouteTable table(60s);
+      table.learnPast(led, Start);
+      table.learn(routes(2, {{.Service = Records}}), Start);
+      table.learn(routes(3, {{.Service = Certificates}}), Start + 50s);
+      expectTrue(table.mayReach(FeedAddress, Records, Start + 100s),
+                 "from the last time on");
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
