Record of routes: one writer in a storm, one item while it is small

Ruled out: pulls between instances (as many as before).

Change: a write by anyone starts the wait anew; parts grow with the number of addresses; the recorder learns after the news was passed on.

--- a/include/chicorybank/edge/Mirror.h
+++ b/include/chicorybank/edge/Mirror.h
@@ -40,6 +40,8 @@
   std::optional<ItemPage> since(int64_t revision) const;
   /// All items.
   ItemPage whole() const;
+  /// The newest routes, or null.
+  const token::RouteSet *routes() const;
   int64_t revision() const { return Revision; }
   /// A checksum of what the items mean. Two copies at one revision that differ
   /// in it differ in an item: one of them missed a change.
@@ -72,6 +74,8 @@
   /// Changes up to this revision are no longer in `History`.
   int64_t HistoryFrom = 0;
   std::map<std::string, Entry> Items;
+  /// The key that holds the routes; empty while none does.
+  std::string RoutesKey;
   std::deque<Past> History;
   /// Unreadable items, and the revision of which that was told.
   std::map<std::string, int64_t> Refused;
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -61,9 +61,9 @@
   bool Gone = false;
 };
 
-/// The record of what routes lead to and have led to is kept in so many items,
-/// by a hash of the address: a change rewrites one of them, which is some 12 kB
-/// at 5,700 addresses.
+/// The record of what routes lead to and have led to is kept in so many items
+/// at most: a change rewrites one of them, which is some 12 kB at 5,700
+/// addresses. A transaction has room for this many with their conditions.
 inline constexpr uint32_t RouteRecordParts = 16;
 
 /// One part of that record (`RouteLedger.h`).
--- a/include/chicorybank/edge/RouteLedger.h
+++ b/include/chicorybank/edge/RouteLedger.h
@@ -49,13 +49,17 @@
   /// Pairs that were lost longer ago than a flow lives are forgotten once they
   /// are out of the record.
   void learn(const RouteRecords &stored, Duration maxFlowAge, Time now);
-  /// The parts that lack a pair, as they should be, each with the revision
-  /// that its item has. A pair too many is no reason to write.
+  /// The parts that lack a pair of theirs, as they should be, each with the
+  /// revision that its item has. A pair too many is no reason to write.
   std::vector<RouteRecord> missingFrom(const RouteRecords &stored,
                                        Duration maxFlowAge, Time now) const;
 
-  /// The part that holds an address.
-  static uint32_t partOf(Address where);
+  /// How many parts hold so many addresses. Each part is an item that every
+  /// start has to read, so there are more of them only where one would be
+  /// large.
+  static uint32_t partsFor(size_t addresses);
+  /// The part, of so many, that holds an address.
+  static uint32_t partOf(Address where, uint32_t parts);
 
 private:
   struct Entry {
--- a/include/chicorybank/edge/RouteRecorder.h
+++ b/include/chicorybank/edge/RouteRecorder.h
@@ -68,7 +68,9 @@
   RouteRecorderTimes Times;
   RouteLedger Ledger;
   std::vector<RouteRecord> Missing;
-  /// Since when something has been missing.
+  /// The newest revision of any part.
+  int64_t StoredAsOf = 0;
+  /// Since when something has been missing, or since the last write.
   Time MissingSince;
   Time NotBefore;
   bool Waiting = false;
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -113,6 +113,8 @@
   if (it == Items.end())
     it = Items.emplace(item.Key, Entry{}).first;
   // Whoever saw the lapse in between has to hear of the new registration.
+  if (std::holds_alternative<token::RouteSet>(news))
+    RoutesKey = item.Key;
   bool same = sameMeaning(it->second.Meaning, news) &&
               it->second.What.Created == item.Created;
   Digest ^= it->second.Digest;
@@ -170,6 +172,12 @@
   return out;
 }
 
+const token::RouteSet *Mirror::routes() const {
+  auto it = Items.find(RoutesKey);
+  return it == Items.end() ? nullptr
+                           : std::get_if<token::RouteSet>(&it->second.Meaning);
+}
+
 std::optional<ItemPage> Mirror::since(int64_t revision) const {
   if (revision < HistoryFrom || Revision == 0)
     return std::nullopt;
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -118,6 +118,7 @@
 }
 
 void NewsDuty::callRecorder(Time now) {
+  learnRecord(now);
   if (!mayRecord(now))
     return;
   std::optional<RegistryCall> call = Recorder.next(Spread.patience(), now);
@@ -132,17 +133,14 @@
       });
 }
 
-void NewsDuty::recordRoutes(const std::vector<token::Event> &news, Time now) {
-  bool changed = false;
-  for (const token::Event &it : news) {
-    const auto *routes = std::get_if<token::RoutesLearned>(&it);
-    if (routes)
-      Recorder.learn(routes->Routes, now);
-    changed = changed || routes ||
-              std::holds_alternative<token::PastRoutesLearned>(it);
-  }
-  if (changed)
-    Recorder.learn(Reader.routeRecords(), Settings.Core.MaxFlowAge, now);
+/// Comes after the news was passed on: callers who wait for the first news
+/// must not wait for this as well.
+void NewsDuty::learnRecord(Time now) {
+  if (!std::exchange(RoutesChanged, false))
+    return;
+  if (const token::RouteSet *routes = Reader.mirror().routes())
+    Recorder.learn(*routes, now);
+  Recorder.learn(Reader.routeRecords(), Settings.Core.MaxFlowAge, now);
 }
 
 void NewsDuty::takeAnswer(const HttpClient::Result &result) {
@@ -160,10 +158,12 @@
 }
 
 void NewsDuty::tell(std::vector<token::Event> news, Time now) {
-  recordRoutes(news, now);
   for (token::Event &it : news) {
     if (auto *servers = std::get_if<token::BackendsLearned>(&it))
       servers->ReadAt = unixMillisecondsNow();
+    RoutesChanged = RoutesChanged ||
+                    std::holds_alternative<token::RoutesLearned>(it) ||
+                    std::holds_alternative<token::PastRoutesLearned>(it);
     Pending.push_back(std::move(it));
   }
   passNews();
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -54,7 +54,7 @@
   void callAnnouncer(Time now);
   bool mayRecord(Time now) const;
   void callRecorder(Time now);
-  void recordRoutes(const std::vector<token::Event> &news, Time now);
+  void learnRecord(Time now);
   void takeAnswer(const HttpClient::Result &result);
   void readPushes();
   void takePush(const NewsPush &push, Time now);
@@ -102,6 +102,8 @@
   /// As of when the last push was current.
   Time PushedAsOf;
   Time LateUntil;
+  /// Routes or their record are newer than what the recorder has learned.
+  bool RoutesChanged = false;
   bool Away = false;
   bool Leaving = false;
   PeerStats Traffic;
--- a/lib/edge/RouteLedger.cpp
+++ b/lib/edge/RouteLedger.cpp
@@ -3,12 +3,17 @@
 #include "chicorybank/base/Hash.h"
 
 #include <algorithm>
+#include <bit>
 #include <set>
 
 namespace chicory::edge {
 
 namespace {
 
+// Some 9 kB of a part, as much as a few registrations and far less than a
+// configuration with as many routes.
+constexpr size_t AddressesInPart = 256;
+
 std::set<token::RoutePair> pairsOf(const RouteRecords &stored) {
   std::set<token::RoutePair> out;
   for (const auto &[part, record] : stored)
@@ -29,10 +34,23 @@
   return out;
 }
 
+/// Each pair of `wanted` stands in `record`.
+bool holds(const RouteRecord &record, const RouteRecord &wanted) {
+  std::set<token::RoutePair> have(record.Pairs.begin(), record.Pairs.end());
+  return std::all_of(
+      wanted.Pairs.begin(), wanted.Pairs.end(),
+      [&](const token::RoutePair &it) { return have.contains(it); });
+}
+
 } // namespace
 
-uint32_t RouteLedger::partOf(Address where) {
-  return static_cast<uint32_t>(mixHash(1, where.packed()) % RouteRecordParts);
+uint32_t RouteLedger::partsFor(size_t addresses) {
+  auto parts = std::bit_ceil(addresses / AddressesInPart + 1);
+  return static_cast<uint32_t>(std::min<size_t>(parts, RouteRecordParts));
+}
+
+uint32_t RouteLedger::partOf(Address where, uint32_t parts) {
+  return static_cast<uint32_t>(mixHash(1, where.packed()) % parts);
 }
 
 void RouteLedger::learn(const token::RouteSet &routes, Time now) {
@@ -83,24 +101,19 @@
 std::vector<RouteRecord> RouteLedger::missingFrom(const RouteRecords &stored,
                                                   Duration maxFlowAge,
                                                   Time now) const {
-  std::set<token::RoutePair> recorded = pairsOf(stored);
   std::map<uint32_t, RouteRecord> wanted;
-  std::set<uint32_t> lacking;
+  uint32_t parts = partsFor(Pairs.size());
   for (const auto &[where, entries] : Pairs) {
-    uint32_t part = partOf(where);
-    for (const Entry &it : entries) {
-      if (expired(it, maxFlowAge, now))
-        continue;
-      token::RoutePair pair{.Where = where, .Service = it.Service};
-      wanted[part].Pairs.push_back(pair);
-      if (!recorded.contains(pair))
-        lacking.insert(part);
-    }
+    RouteRecord &record = wanted[partOf(where, parts)];
+    for (const Entry &it : entries)
+      if (!expired(it, maxFlowAge, now))
+        record.Pairs.push_back({.Where = where, .Service = it.Service});
   }
   std::vector<RouteRecord> out;
-  for (uint32_t part : lacking) {
+  for (auto &[part, record] : wanted) {
     auto old = stored.find(part);
-    RouteRecord &record = wanted[part];
+    if (old != stored.end() && holds(old->second, record))
+      continue;
     record.Part = part;
     record.Revision = old == stored.end() ? 0 : old->second.Revision;
     out.push_back(std::move(record));
--- a/lib/edge/RouteRecorder.cpp
+++ b/lib/edge/RouteRecorder.cpp
@@ -3,15 +3,31 @@
 #include "Http.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicory::edge {
 
+namespace {
+
+int64_t newestOf(const RouteRecords &stored) {
+  int64_t out = 0;
+  for (const auto &[part, record] : stored)
+    out = std::max(out, record.Revision);
+  return out;
+}
+
+} // namespace
+
 void RouteRecorder::learn(const RouteRecords &stored, Duration maxFlowAge,
                           Time now) {
   Ledger.learn(stored, maxFlowAge, now);
   bool before = !Missing.empty();
   Missing = Ledger.missingFrom(stored, maxFlowAge, now);
-  if (!before)
+  // While routes go on changing there is always something missing; whoever
+  // writes must not be joined by all who stand behind.
+  int64_t newest = newestOf(stored);
+  bool written = std::exchange(StoredAsOf, newest) != newest;
+  if (!before || written)
     MissingSince = now;
 }
 
--- a/tests/RouteLedgerTest.cpp
+++ b/tests/RouteLedgerTest.cpp
@@ -52,14 +52,47 @@
   CPPUNIT_TEST(boundsWhatOneAddressHasLost);
   CPPUNIT_TEST(ignoresOlderVersions);
   CPPUNIT_TEST(writesAgainWhatWasTakenAway);
+  CPPUNIT_TEST(dividesALargeRecord);
   CPPUNIT_TEST_SUITE_END();
 
+  // Symptom: after a growth of the configuration, pairs are in no part.
+  // Sequence: the record has one part; addresses are added, so that there are
+  // two; the first is rewritten without those that are the second's now.
+  // Cause: a pair looked for in the whole record, not in the part that has it.
+  void dividesALargeRecord() {
+    auto many = [](uint64_t version, uint32_t count) {
+      token::RouteSet out{.Version = RuleVersion{version}};
+      for (uint32_t n = 0; n < count; ++n)
+        out.Routes.push_back({.Where = {.Ip = n + 1, .Port = 80},
+                              .Services = {{.Service = Records}}});
+      return out;
+    };
+    expectEqual<uint32_t>(1, RouteLedger::partsFor(255));
+    expectEqual<uint32_t>(2, RouteLedger::partsFor(256));
+    expectEqual<uint32_t>(RouteRecordParts, RouteLedger::partsFor(5'700));
+    expectEqual<uint32_t>(RouteRecordParts, RouteLedger::partsFor(34'000));
+    RouteLedger ledger;
+    RouteRecords stored;
+    uint32_t most = 0;
+    uint64_t version = 0;
+    for (uint32_t count : {200U, 400U, 5'700U, 100U}) {
+      most = std::max(most, count);
+      ledger.learn(many(++version, count), Start);
+      store(ledger.missingFrom(stored, FlowAge, Start), stored);
+      expectTrue(ledger.missingFrom(stored, FlowAge, Start).empty(), "whole");
+      RouteLedger started;
+      started.learn(stored, FlowAge, Start);
+      expectEqual<size_t>(
+          most, servicesOf(started.missingFrom({}, FlowAge, Start)).size());
+    }
+  }
+
   void recordsWhatRoutesLeadTo() {
     RouteLedger ledger;
     ledger.learn(routes(1, {Records}), Start);
     auto missing = ledger.missingFrom({}, FlowAge, Start);
     expectEqual<size_t>(1, missing.size());
-    expectEqual(RouteLedger::partOf(Feed), missing[0].Part);
+    expectEqual(RouteLedger::partOf(Feed, 1), missing[0].Part);
     expectEqual<int64_t>(0, missing[0].Revision);
     RouteRecords stored;
     store(missing, stored);
@@ -144,7 +177,8 @@
     ledger.learn(routes(1, {Records}), Start);
     store(ledger.missingFrom(stored, FlowAge, Start), stored);
     ledger.learn(stored, FlowAge, Start);
-    stored[RouteLedger::partOf(Feed)] = {.Part = RouteLedger::partOf(Feed)};
+    stored[RouteLedger::partOf(Feed, 1)] = {.Part =
+                                                RouteLedger::partOf(Feed, 1)};
     ledger.learn(stored, FlowAge, Start);
     auto missing = ledger.missingFrom(stored, FlowAge, Start);
     expectEqual<size_t>(1, missing.size());
--- a/tests/RouteRecorderTest.cpp
+++ b/tests/RouteRecorderTest.cpp
@@ -101,6 +101,7 @@
   CPPUNIT_TEST_SUITE(RouteRecorderTest);
   CPPUNIT_TEST(writesWhatHasSettled);
   CPPUNIT_TEST(leavesItToWhoeverStandsBefore);
+  CPPUNIT_TEST(writesAloneWhileRoutesGoOnChanging);
   CPPUNIT_TEST(triesAgainAfterAFailure);
   CPPUNIT_TEST(yieldsToAnotherWriter);
   CPPUNIT_TEST(letsStartedInstancesCarryOldFlows);
@@ -133,6 +134,29 @@
     expectTrue(!other.Recorder.next(FurtherBack, Start + 1h), "it is done");
   }
 
+  // Symptom: all instances write at once, and all but one are refused.
+  // Sequence: routes change several times a second for several seconds; the
+  // first in line writes; something is missing again when its write is read.
+  // Cause: those behind wait from when anything was first missing.
+  void writesAloneWhileRoutesGoOnChanging() {
+    Deployment store;
+    Instance first;
+    Instance other;
+    int calls = 0;
+    for (Time now = Start; now < Start + 20s; now += 100ms) {
+      store.move(0, static_cast<uint32_t>((now - Start) / 300ms));
+      first.read(store, now);
+      other.read(store, now);
+      if (auto call = first.Recorder.next(FirstInLine, now)) {
+        store.execute(*call);
+        first.Recorder.answered({.Status = Ok}, now);
+        ++calls;
+      }
+      expectTrue(!other.Recorder.next(FurtherBack, now), "it is done");
+    }
+    expectTrue(calls >= 8 && calls <= 10, "not for each change");
+  }
+
   void triesAgainAfterAFailure() {
     Deployment store;
     Instance one;
