Leaving instances and those taught by a neighbour remind others

Cause: in a zone that is cut off while its instances restart in turn, those that leave stop reminding others, and one that learned from them never began to. The next to start knows nobody: not_current and no_match until the cut ends. Ruled out: the route record (no foreign_token), the servers (other instances' flows there are served).

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -107,10 +107,12 @@
   /// What another instance knows, read while the registry has not answered
   /// since the start. It serves callers, but nobody knows how old it is.
   void takeSeed(const ItemPage &page, std::vector<token::Event> &out);
-  /// The registry did not answer since the start, and a sender knows more.
+  /// The registry did not answer since the start, and a sender knows more. A
+  /// sender with stale news shows that the registry is away as well as a call
+  /// that failed, and earlier.
   bool needsSeed(const NewsPush &push) const {
-    return !Complete && Stats.Failures != 0 &&
-           push.Page.Revision > Copy.revision();
+    bool failing = Stats.Failures != 0 || push.Age > Times.AwayAfter;
+    return !Complete && failing && push.Page.Revision > Copy.revision();
   }
   /// A push with the changes behind a revision.
   NewsPush push(InstanceId self, int64_t since, Time now) const;
@@ -126,6 +128,8 @@
   }
   /// Everything was read at least once.
   bool complete() const { return Complete; }
+  /// Everything is known, from the registry or from another instance.
+  bool knowsAll() const { return Complete || Seeded; }
   /// The news is older than it ever is while the registry answers.
   bool away(Time now) const { return now - CurrentAt > Times.AwayAfter; }
   Time currentAt() const { return CurrentAt; }
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -59,6 +59,8 @@
   /// For messages between instances (UDP), and for news (HTTP).
   Address Peers;
   bool Gone = false;
+
+  bool operator==(const PeerRecord &) const = default;
 };
 
 /// The record of what routes lead to and have led to is kept in so many items
--- /dev/null
+++ b/include/chicorybank/edge/Reminders.h
@@ -0,0 +1,50 @@
+// Whom an instance tells that it is there, while the registry is away.
+//
+// An instance that starts while the registry is away, or in a zone that is cut
+// off from it, knows nothing and nobody: it drops all packets, and one sees
+// `not_current` with `rules=0`. Its neighbours still have its record, or the
+// one that it left with, and all that it needs; so they go on telling it that
+// they are there, and it reads from whoever does.
+//
+// In a rolling restart it may be that just those are left who are about to
+// stop, or who have only what a neighbour told them. They tell as well.
+
+#ifndef CHICORYBANK_EDGE_REMINDERS_H
+#define CHICORYBANK_EDGE_REMINDERS_H
+
+#include "chicorybank/edge/Registry.h"
+
+#include <map>
+#include <vector>
+
+namespace chicory::edge {
+
+/// Remembers who has left, and when others are next told.
+class Reminders {
+public:
+  /// About the pace at which news comes otherwise.
+  static constexpr Duration Every = std::chrono::milliseconds(700);
+  /// An instance that left may be back at its address, as in a rolling restart.
+  static constexpr Duration FormerFor = std::chrono::seconds(30);
+
+  /// The registered instances are now these.
+  void learn(const std::map<InstanceId, PeerRecord> &peers, Time now);
+  /// True where others are to be told now.
+  bool due(bool away, Time now);
+  /// Instances that have left and may be back.
+  std::vector<Address> former(Time now) const;
+  const std::map<InstanceId, PeerRecord> &known() const { return Known; }
+
+private:
+  struct Left {
+    Address Where;
+    Time At;
+  };
+  std::map<InstanceId, PeerRecord> Known;
+  std::map<InstanceId, Left> Former;
+  Time DueAt;
+};
+
+} // namespace chicory::edge
+
+#endif
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -11,11 +11,6 @@
 
 // Peers answer from memory; one that does not is slow or gone.
 constexpr Duration PeerTimeout = std::chrono::milliseconds(500);
-// While the registry is away, how often instances that may have restarted are
-// told what is known: about the pace at which news comes otherwise.
-constexpr Duration RemindEvery = std::chrono::milliseconds(700);
-// An instance that left may be back at its address, as in a rolling restart.
-constexpr Duration FormerFor = std::chrono::seconds(30);
 constexpr Duration RecordTimeout = std::chrono::milliseconds(1500);
 constexpr size_t ReadBytes = 2048;
 constexpr int ReadsAtOnce = 64;
@@ -64,12 +59,12 @@
     Peer->expire(now);
   passNews();
   shareDoubts(now);
-  if (Leaving)
-    return;
-  callRegistry(now);
-  callAnnouncer(now);
-  callRecorder(now);
-  noteRegistry(now);
+  if (!Leaving) {
+    callRegistry(now);
+    callAnnouncer(now);
+    callRecorder(now);
+    noteRegistry(now);
+  }
   remindOthers(now);
 }
 
@@ -170,26 +165,14 @@
   Findings findings = Reader.takeFindings();
   for (const Finding &it : findings.items())
     Lines.write(LogLine("bad_item").with("finding", it.text()));
-  if (Reader.peers().size() != Known.size() ||
-      !std::equal(Known.begin(), Known.end(), Reader.peers().begin(),
-                  [](const auto &a, const auto &b) {
-                    return a.first == b.first &&
-                           a.second.Peers == b.second.Peers;
-                  })) {
+  if (Reader.peers() != Others.known())
     takePeers(now);
-  }
-  Record.seen(Known.contains(InstanceId{Settings.Ip}), now);
+  Record.seen(Others.known().contains(InstanceId{Settings.Ip}), now);
 }
 
 void NewsDuty::takePeers(Time now) {
-  for (const auto &[id, peer] : Known)
-    if (!Reader.peers().contains(id))
-      Former[id] = {peer.Peers, now};
-  Known = Reader.peers();
-  std::erase_if(Former, [&](const auto &it) {
-    return Known.contains(it.first) || now - it.second.second > FormerFor;
-  });
-  Spread.learn(Known);
+  Others.learn(Reader.peers(), now);
+  Spread.learn(Others.known());
   Reader.setPatience(Spread.patience(), Spread.retryMost());
 }
 
@@ -294,8 +277,8 @@
 }
 
 void NewsDuty::pull(InstanceId from, bool whole) {
-  auto it = Known.find(from);
-  if (it == Known.end() || (Peer && Peer->busy()))
+  auto it = Others.known().find(from);
+  if (it == Others.known().end() || (Peer && Peer->busy()))
     return;
   connectPeer(from, it->second.Peers);
   std::string target = "/news";
@@ -315,21 +298,15 @@
   PeerId = id;
 }
 
-/// An instance that starts while the registry is away, or in a zone that is cut
-/// off from it, knows nothing and nobody: it drops all packets, and one sees
-/// `not_current` with `rules=0`. Its neighbours still have its record, and all
-/// that it needs; so they go on telling it that they are there.
 void NewsDuty::remindOthers(Time now) {
-  if (!Reader.complete() || !Reader.away(now) || now < RemindAt)
+  if (!Reader.knowsAll() || !Others.due(Away, now))
     return;
-  RemindAt = now + RemindEvery;
   sendPush(true, now);
   NewsPush push =
       Reader.push(InstanceId{Settings.Ip}, Reader.mirror().revision(), now);
   std::string bytes = encodePush(push);
-  for (const auto &[id, left] : Former)
-    if (now - left.second <= FormerFor)
-      send(bytes, left.first);
+  for (Address it : Others.former(now))
+    send(bytes, it);
 }
 
 void NewsDuty::pullSeed(InstanceId from) {
@@ -404,7 +381,7 @@
 }
 
 void NewsDuty::noteRegistry(Time now) {
-  bool away = Reader.complete() && Reader.away(now);
+  bool away = Reader.knowsAll() && Reader.away(now);
   if (away == Away)
     return;
   Away = away;
@@ -423,7 +400,10 @@
   if (!call || RecordCalls.busy())
     return;
   RecordCalls.call(httpCall(std::move(*call), RecordTimeout),
-                   [](const HttpClient::Result &) {});
+                   [this](const HttpClient::Result &it) {
+                     // Nothing else is asked of the registry any more.
+                     Away = Away || !it;
+                   });
 }
 
 } // namespace chicory::edge
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -12,6 +12,7 @@
 #include "chicorybank/edge/DoubtLog.h"
 #include "chicorybank/edge/FragmentAssembler.h"
 #include "chicorybank/edge/NewsSpread.h"
+#include "chicorybank/edge/Reminders.h"
 #include "chicorybank/edge/RouteRecorder.h"
 #include "chicorybank/edge/Settings.h"
 
@@ -91,12 +92,8 @@
   std::unique_ptr<HttpClient> Peer;
   InstanceId PeerId;
   std::deque<token::Event> Pending;
-  /// Instances whose records have ended, and when: they may be back.
-  std::map<InstanceId, std::pair<Address, Time>> Former;
-  /// When others are next told what is known here, while nothing is new.
-  Time RemindAt;
-  /// Peers as last told to the spread and the packet thread.
-  std::map<InstanceId, PeerRecord> Known;
+  /// The registered instances, and those that may be back.
+  Reminders Others;
   /// The revision that the last push led to.
   int64_t PushedTo = 0;
   /// As of when the last push was current.
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// News that an instance has from others may be of any age; it is told as this
+// old. All that it has to be is older than any limit.
+constexpr Duration OldestAge = std::chrono::hours(1);
+
 /// Takes out what earlier items said of a server.
 void forget(token::BackendsLearned &servers, token::BackendId id) {
   std::erase_if(servers.Present, [&](const token::Registration &other) {
@@ -206,7 +210,7 @@
 
 NewsPush NewsReader::push(InstanceId self, int64_t since, Time now) const {
   NewsPush out{.Sender = self,
-               .Age = now - CurrentAt,
+               .Age = std::min(now - CurrentAt, OldestAge),
                .Base = since,
                .Digest = Copy.digest()};
   if (auto page = Copy.since(since))
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -336,6 +336,11 @@
     Reading reading;
     expectTrue(!reading.Reader.needsSeed(pushed()),
                "the registry is asked first");
+    section("unless a sender's stale news shows that it is away", [&] {
+      NewsPush stale = pushed();
+      stale.Age = 1600ms;
+      expectTrue(reading.Reader.needsSeed(stale), "no need to wait");
+    });
     reading.fail();
     expectTrue(reading.Reader.needsSeed(pushed()), "it did not answer");
     reading.Reader.takeSeed(store.list(), reading.Events);
@@ -347,6 +352,14 @@
       expectTrue(reading.take<token::NewsChecked>().empty(),
                  "nobody knows how old it is");
       expectTrue(!reading.Reader.needsSeed(pushed()), "there is no more");
+      expectTrue(reading.Reader.knowsAll() && !reading.Reader.complete(),
+                 "it may tell others who start");
+    });
+    section("its own pushes can be read, and serve those that start", [&] {
+      NewsPush own = reading.Reader.push(InstanceId{3}, 0, reading.Now);
+      auto read = decodePush(encodePush(own));
+      expectTrue(read.has_value(), "however old its news is");
+      expectTrue(Reading().Reader.needsSeed(*read), "another one starts");
     });
     store.server(1, "draining");
     expectTrue(reading.Reader.needsSeed(pushed()), "until something changes");
--- /dev/null
+++ b/tests/RemindersTest.cpp
@@ -0,0 +1,53 @@
+#include "chicorybank/edge/Reminders.h"
+
+#include "Story.h"
+
+using namespace story;
+using namespace chicory;
+using namespace chicory::edge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time Start{100s};
+
+std::map<InstanceId, PeerRecord> peers(std::vector<uint32_t> ids) {
+  std::map<InstanceId, PeerRecord> out;
+  for (uint32_t it : ids)
+    out[InstanceId{it}] = {.Id = InstanceId{it}, .Zone = "a", .Peers = {it, 7}};
+  return out;
+}
+
+} // namespace
+
+class RemindersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RemindersTest);
+  CPPUNIT_TEST(remindsWhileTheRegistryIsAway);
+  CPPUNIT_TEST(remembersWhoHasLeft);
+  CPPUNIT_TEST_SUITE_END();
+
+  void remindsWhileTheRegistryIsAway() {
+    Reminders it;
+    expectTrue(!it.due(false, Start), "all is well");
+    expectTrue(it.due(true, Start), "away");
+    expectTrue(!it.due(true, Start + 600ms), "a moment ago");
+    expectTrue(it.due(true, Start + 700ms), "again");
+  }
+
+  // Symptom: an instance that restarts in a cut-off zone serves nobody.
+  // Sequence: it stops, which ends its record; the zone is cut off; it starts
+  // at the same address.
+  // Cause: only those with a record were told.
+  void remembersWhoHasLeft() {
+    Reminders it;
+    it.learn(peers({1, 2}), Start);
+    expectTrue(it.former(Start).empty(), "nobody has");
+    it.learn(peers({1}), Start + 1s);
+    expectTrue(it.former(Start + 31s) == std::vector{Address{2, 7}}, "one");
+    expectTrue(it.former(Start + 32s).empty(), "not for ever");
+    it.learn(peers({1, 2}), Start + 2s);
+    expectTrue(it.former(Start + 2s).empty(), "it is back");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RemindersTest);
