Idle flows of an unreachable server are reset where the next request must not run twice

Cause: callers keep flows open for many such requests; when a server dies, each flow's next request is sent to it and lost, since its caller may not repeat it, for as long as the registration stands (2 s and more). Ruled out: slow detection (three probes have failed 0.4 s after the power went).

Change: with the conclusion from three probes, idle flows of routes whose requests must not run twice are reset as well. ReachTest fails without it.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -166,7 +166,7 @@
   Duration roundTrip(const std::string &zone) const;
   bool resetUnreachable(const FlowPacket &head, BackendIndex i, Time now,
                         Actions &actions);
-  void resetRequestsOf(BackendIndex i, Time now, Actions &actions);
+  void resetHopelessFlowsOf(BackendIndex i, Time now, Actions &actions);
   void checkRequests(Time now, Actions &actions);
   Duration requestPatience() const;
   void steerOpeningsAway(BackendIndex from, Time now, Actions &actions);
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -124,7 +124,7 @@
            .Backend = backend.Info.Id},
           now, actions);
   actions.emplace_back(ShareDoubt{.Id = backend.Info.Id});
-  resetRequestsOf(i, now, actions);
+  resetHopelessFlowsOf(i, now, actions);
 }
 
 /// The other instance's probes stand for the first one here. A server that this
@@ -188,15 +188,25 @@
   return true;
 }
 
-/// Requests that are under way at a server that can't be reached.
-void Core::resetRequestsOf(BackendIndex i, Time now, Actions &actions) {
-  std::vector<FlowKey> waiting;
+/// Flows of a server that can't be reached, where their callers gain by it:
+///
+/// - a request under way that may be repeated: its caller repeats it at once;
+/// - no request under way, and the next one must not run twice: sent on this
+///   flow it would be lost, since a caller can't know whether it ran. On a new
+///   flow it runs elsewhere.
+///
+/// An idle flow whose requests may be repeated stays: if its next request comes
+/// while the server is still unreachable, it is reset then, and its caller has
+/// lost a round trip.
+void Core::resetHopelessFlowsOf(BackendIndex i, Time now, Actions &actions) {
+  std::vector<FlowKey> hopeless;
   for (const auto &[key, flow] : Flows) {
     const Route *route = Routes.find(key.Destination);
-    if (flow.Backend == i && flow.Busy && route && route->Idempotent)
-      waiting.push_back(key);
+    if (flow.Backend == i && route && !flow.Opening &&
+        flow.Busy == route->Idempotent)
+      hopeless.push_back(key);
   }
-  resetFlows(waiting, Reason::BackendUnreachable, now, actions);
+  resetFlows(hopeless, Reason::BackendUnreachable, now, actions);
 }
 
 Duration Core::requestPatience() const {
--- a/tests/ReachTest.cpp
+++ b/tests/ReachTest.cpp
@@ -5,6 +5,8 @@
 #include "Story.h"
 #include "TokenSamples.h"
 
+#include <algorithm>
+
 using namespace story;
 using namespace samples::token;
 
@@ -66,6 +68,7 @@
   CPPUNIT_TEST(sparesRequestsThatMayNotRunTwice);
   CPPUNIT_TEST(blamesItsOwnLinkFirst);
   CPPUNIT_TEST(takesASlowLinkForItsOwnFault);
+  CPPUNIT_TEST(closesIdleFlowsWhoseRequestsMustNotRunTwice);
   CPPUNIT_TEST(concludesNothingAfterAFalseAlarm);
   CPPUNIT_TEST(actsOnNoConclusionFromBeforeAFalseAlarm);
   CPPUNIT_TEST(isPatientWithAFarZone);
@@ -205,6 +208,48 @@
     });
   }
 
+  // Symptom: requests that must not run twice fail one after the other, for as
+  // long as the registration of a dead server stands.
+  // Sequence: callers keep flows open for many such requests; the server dies
+  // between two of them; each flow's next request is sent to it and lost, and
+  // its caller can't know whether it ran.
+  // Cause: flows without a request in progress were left alone.
+  void closesIdleFlowsWhoseRequestsMustNotRunTwice() {
+    Doubtful instance;
+    RouteSet both = repeatableFeed();
+    both.Version = RuleVersion{3};
+    both.Routes[1].Services = {{.Service = Records}};
+    instance.handle(RoutesLearned{both});
+    auto served = [&](uint16_t port, Address route, uint64_t server) {
+      Caller out{
+          .Port = port, .Route = route, .Echo = tokenOf(BackendId{server})};
+      instance.packet(out.data(1, 1));
+      instance.packet(out.ack(2));
+      return out;
+    };
+    served(10, Papers, 1);
+    served(11, Feed, 1);
+    served(12, Papers, 2);
+    instance.probeEnds(ProbeOutcome::Reached);
+    instance.pass(300ms);
+    // The server falls silent with these under way.
+    Caller busy{.Port = 13, .Route = Papers, .Echo = tokenOf(BackendId{1})};
+    instance.packet(busy.data(1));
+    Caller repeatable{.Port = 15, .Echo = tokenOf(BackendId{1})};
+    instance.packet(repeatable.data(1));
+    instance.pass(200ms);
+    Actions actions = instance.allFail();
+    std::vector<uint16_t> ports;
+    for (const ResetFlow &it : only<ResetFlow>(actions))
+      ports.push_back(it.Flow.Source.Port);
+    std::sort(ports.begin(), ports.end());
+    // The first caller's request has waited since the beginning.
+    expectTrue(
+        ports == std::vector<uint16_t>{1, 10, 15},
+        "requests that may be repeated, and the idle flow whose next one "
+        "may not");
+  }
+
   // Symptom: flows of a server that serves are reset.
   // Sequence: three probes of a server fail; just after that another server,
   // which had failed a probe as well, turns out to live; a request comes for
