A planned stop leaves its record until the lease ends

Cause: in a zone that is cut off, an instance that starts is told the routes by neighbours who know its address. A neighbour that itself restarted while the other was away had never seen its record. Ruled out: lost reminders (none was sent to that address).

Change: the record is marked as leaving instead of being removed with its lease; such an instance has no place in the order of news, and counts as one that may be back.

--- a/include/chicorybank/edge/Announcer.h
+++ b/include/chicorybank/edge/Announcer.h
@@ -35,7 +35,10 @@
   void answered(const NewsAnswer &answer, Time now);
   /// The copy was renewed; `present` says whether the record is in it.
   void seen(bool present, Time now);
-  /// Ends the lease; nothing follows.
+  /// Marks the record as that of an instance that leaves; nothing follows, and
+  /// the record goes with its lease. While it stands, neighbours that start
+  /// learn who may be back soon (`Reminders.h`): in a rolling restart none of
+  /// those that stay need have seen the one that is away.
   std::optional<RegistryCall> end();
 
 private:
--- a/include/chicorybank/edge/NewsSpread.h
+++ b/include/chicorybank/edge/NewsSpread.h
@@ -42,7 +42,7 @@
 
   explicit NewsSpread(SpreadOptions options);
 
-  /// The registered instances changed.
+  /// The registered instances changed. Those that leave have no place.
   void learn(const std::map<InstanceId, PeerRecord> &peers);
 
   Duration patience() const { return Patience; }
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -58,6 +58,9 @@
   std::string Zone;
   /// For messages between instances (UDP), and for news (HTTP).
   Address Peers;
+  /// The instance is stopping as planned. It may be back within seconds.
+  bool Leaving = false;
+  /// The record has ended.
   bool Gone = false;
 
   bool operator==(const PeerRecord &) const = default;
--- a/include/chicorybank/edge/Reminders.h
+++ b/include/chicorybank/edge/Reminders.h
@@ -31,7 +31,7 @@
   void learn(const std::map<InstanceId, PeerRecord> &peers, Time now);
   /// True where others are to be told now.
   bool due(bool away, Time now);
-  /// Instances that have left and may be back.
+  /// Instances that have left, or are leaving, and may be back.
   std::vector<Address> former(Time now) const;
   const std::map<InstanceId, PeerRecord> &known() const { return Known; }
 
--- a/lib/edge/Announcer.cpp
+++ b/lib/edge/Announcer.cpp
@@ -61,7 +61,10 @@
   Waiting = true;
   if (State == Phase::Leasing)
     return std::nullopt;
-  return Dialect.endLease(Lease);
+  if (State == Phase::Writing)
+    return Dialect.endLease(Lease);
+  Self.Leaving = true;
+  return Dialect.announce(Self, Lease);
 }
 
 } // namespace chicory::edge
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -44,7 +44,7 @@
   }
   uint64_t operator()(const RegistrationEnded & /*news*/) const { return 0; }
   uint64_t operator()(const PeerRecord &news) const {
-    return mixHash(news.Id.Value, news.Peers.packed());
+    return mixHash(news.Id.Value, news.Peers.packed() * 2 + news.Leaving);
   }
   uint64_t operator()(const RouteRecord &news) const {
     uint64_t out = news.Part;
--- a/lib/edge/NewsSpread.cpp
+++ b/lib/edge/NewsSpread.cpp
@@ -38,7 +38,7 @@
   zones[own].push_back({.Order = mixHash(1, Options.Self.Value),
                         .Peer = {.Id = Options.Self, .Zone = Options.Zone}});
   for (const auto &[id, peer] : peers)
-    if (id != Options.Self)
+    if (id != Options.Self && !peer.Leaving)
       zones[hashBytes(peer.Zone)].push_back(
           {.Order = mixHash(1, id.Value), .Peer = peer});
   Children.clear();
--- a/lib/edge/Reminders.cpp
+++ b/lib/edge/Reminders.cpp
@@ -10,6 +10,9 @@
   std::erase_if(Former, [&](const auto &it) {
     return Known.contains(it.first) || now - it.second.At > FormerFor;
   });
+  for (const auto &[id, peer] : Known)
+    if (peer.Leaving)
+      Former[id] = {.Where = peer.Peers, .At = now};
 }
 
 bool Reminders::due(bool away, Time now) {
--- a/tests/RemindersTest.cpp
+++ b/tests/RemindersTest.cpp
@@ -24,8 +24,26 @@
   CPPUNIT_TEST_SUITE(RemindersTest);
   CPPUNIT_TEST(remindsWhileTheRegistryIsAway);
   CPPUNIT_TEST(remembersWhoHasLeft);
+  CPPUNIT_TEST(knowsWhoLeftBeforeItStarted);
   CPPUNIT_TEST_SUITE_END();
 
+  // Symptom: an instance that restarts in a cut-off zone serves nobody, though
+  // a neighbour knows everything.
+  // Sequence: it stops; the neighbour restarts meanwhile; the zone is cut off;
+  // it starts.
+  // Cause: its record ended with its stop, so the neighbour never saw it.
+  void knowsWhoLeftBeforeItStarted() {
+    auto some = peers({1, 2});
+    some[InstanceId{2}].Leaving = true;
+    Reminders it;
+    it.learn(some, Start);
+    expectTrue(it.former(Start) == std::vector{Address{2, 7}}, "it leaves");
+    it.learn(peers({1}), Start + 8s);
+    expectTrue(it.former(Start + 38s) == std::vector{Address{2, 7}}, "it left");
+    it.learn(peers({1, 2}), Start + 9s);
+    expectTrue(it.former(Start + 9s).empty(), "it is back");
+  }
+
   void remindsWhileTheRegistryIsAway() {
     Reminders it;
     expectTrue(!it.due(false, Start), "all is well");
