--- a/include/chicorybank/edge/Settings.h
+++ b/include/chicorybank/edge/Settings.h
@@ -47,6 +47,9 @@
 /// instance can take over.
 SettingsChange applyChanges(EdgeSettings &inUse, const EdgeSettings &fresh);
 
+/// The mechanisms that are off. In production there are none.
+std::vector<std::string> switchedOff(const EdgeSettings &settings);
+
 /// Reads settings. Reports every fault with its place.
 std::optional<EdgeSettings> readEdgeSettings(std::string_view text,
                                              const std::string &file,
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -15,6 +15,7 @@
 #include "chicorybank/token/Events.h"
 #include "chicorybank/token/FlowMemory.h"
 #include "chicorybank/token/Histogram.h"
+#include "chicorybank/token/Mechanisms.h"
 
 #include <array>
 #include <deque>
@@ -58,6 +59,7 @@
   /// can send packets with made-up tokens, and they must not take the memory
   /// that an instance has. Above it a flow is not reset, only dropped.
   size_t UnknownMost = 10'000;
+  Mechanisms Use;
 };
 
 /// Counters and gauges of a core. Counters never fall.
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -109,7 +109,8 @@
 /// What was not read yet must not be taken for missing, and calls to a registry
 /// that is away are wasted.
 bool NewsDuty::mayRecord(Time now) const {
-  return !RecordCalls.busy() && Reader.complete() && !Reader.away(now);
+  return Settings.Core.Use.RouteRecord && !RecordCalls.busy() &&
+         Reader.complete() && !Reader.away(now);
 }
 
 void NewsDuty::callRecorder(Time now) {
@@ -299,7 +300,8 @@
 }
 
 void NewsDuty::remindOthers(Time now) {
-  if (!Reader.knowsAll() || !Others.due(Away, now))
+  if (!Settings.Core.Use.Reminders || !Reader.knowsAll() ||
+      !Others.due(Away, now))
     return;
   sendPush(true, now);
   NewsPush push =
--- a/lib/edge/PacketDuty.cpp
+++ b/lib/edge/PacketDuty.cpp
@@ -57,7 +57,7 @@
                        FileDescriptor packets, Shared &shared)
     : Frames(framing), Common(shared), Packets(std::move(packets)),
       Core(settings.Core), Batch(Packets.get()), Probes(Events, settings.Ip),
-      Turns(LongestTurn) {
+      Turns(LongestTurn), Hold(settings.Core.Use.HoldAtStart) {
   Common.PacketWakeup.attach(Events);
 }
 
@@ -67,7 +67,7 @@
 /// the start. Packets that have waited for longer than their callers take to
 /// send them again are worth nothing, so the wait has an end.
 void PacketDuty::beginReading(Time now) {
-  bool wait = !Core.carries() && !Core.serves() && now < HoldUntil;
+  bool wait = Hold && !Core.carries() && !Core.serves() && now < HoldUntil;
   if (Reading || wait)
     return;
   Reading = true;
--- a/lib/edge/PacketDuty.h
+++ b/lib/edge/PacketDuty.h
@@ -73,6 +73,8 @@
   Time HoldUntil;
   bool Reading = false;
   PauseWatch Turns;
+  /// Packets before the first news wait for it.
+  bool Hold;
   /// Openings in the socket may be from before a pause.
   bool OldOpenings = false;
 };
--- a/lib/edge/Settings.cpp
+++ b/lib/edge/Settings.cpp
@@ -72,10 +72,19 @@
   takeOver("times.max_flow_age", inUse.Core.MaxFlowAge, fresh.Core.MaxFlowAge,
            out.Applied);
   takeOver("times.grace", inUse.Grace, fresh.Grace, out.Applied);
+  compare("mechanisms", inUse.Core.Use, fresh.Core.Use, out.AfterRestart);
   inUse.StopAfter = fresh.StopAfter;
   return out;
 }
 
+std::vector<std::string> switchedOff(const EdgeSettings &settings) {
+  std::vector<std::string> out;
+  for (const token::MechanismName &it : token::MechanismNames)
+    if (!(settings.Core.Use.*it.Switch))
+      out.emplace_back(it.Key);
+  return out;
+}
+
 std::optional<EdgeSettings> readEdgeSettings(std::string_view text,
                                              const std::string &file,
                                              Findings &findings) {
@@ -110,6 +119,10 @@
     out.Core.MaxFlowAge =
         times->duration("max_flow_age", out.Core.MaxFlowAge, 1s, LongTime);
     out.Grace = times->duration("grace", out.Grace, 100ms, LongTime);
+
+    Section mechanisms(top, "mechanisms", file, findings);
+    for (const token::MechanismName &it : token::MechanismNames)
+      out.Core.Use.*it.Switch = mechanisms->flag(it.Key, true);
     top.finish();
   }
   out.Core.Zone = out.Zone;
--- a/lib/token/Choice.cpp
+++ b/lib/token/Choice.cpp
@@ -36,9 +36,9 @@
   double slots = std::max<uint32_t>(backend.Info.Slots, 1);
   double load = backend.load();
   double out = load * UsualSlots / slots;
-  if (backend.WarmUntil > now)
+  if (Options.Use.WarmUpCost && backend.WarmUntil > now)
     out += WarmingCost;
-  if (backend.Info.Zone != Options.Zone)
+  if (Options.Use.OwnZoneFirst && backend.Info.Zone != Options.Zone)
     out += OtherZoneCost;
   if (backend.suspect(now))
     out += SuspectCost;
@@ -50,7 +50,8 @@
   double best = std::numeric_limits<double>::max();
   for (BackendIndex i : Servers.ofService(service)) {
     const Backend &backend = Servers.at(i);
-    bool missing = backend.State == Standing::Missing && !backend.Info.Draining;
+    bool missing = Options.Use.MissingAsLastResort &&
+                   backend.State == Standing::Missing && !backend.Info.Draining;
     if (!backend.takesNew() && !missing)
       continue;
     double cost = score(backend, now);
@@ -109,7 +110,7 @@
 
 void Core::suspect(BackendIndex i, Time now, Actions &actions) {
   Backend &backend = Servers.at(i);
-  if (backend.suspect(now))
+  if (!Options.Use.Suspicion || backend.suspect(now))
     return;
   Duration lasts = Options.SuspectFor;
   for (uint32_t n = 0; n < backend.Suspicions; ++n)
@@ -128,6 +129,8 @@
 /// A silent server swallows openings, and callers notice after 200 ms. The
 /// openings that wait at it go to another server at once.
 void Core::steerOpeningsAway(BackendIndex from, Time now, Actions &actions) {
+  if (!Options.Use.MovedOpenings)
+    return;
   for (Opening &it : Openings) {
     FlowState *flow = flowOf(it.Flow);
     if (!flow || !flow->Opening || flow->Backend != from)
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -294,7 +294,8 @@
   for (BackendIndex it : Servers.update(trusted, now)) {
     decided({.What = "backend_gone", .Backend = Servers.at(it).Info.Id}, now,
             actions);
-    resetFlowsOf(it, now, actions);
+    if (Options.Use.GoneResets)
+      resetFlowsOf(it, now, actions);
   }
 }
 
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -27,7 +27,7 @@
 
 /// Something sent to a server has no answer yet. That alone proves nothing.
 void Core::doubt(BackendIndex i, Time now, Actions &actions) {
-  if (mayProbe(Servers.at(i).Probes, now))
+  if (Options.Use.Probes && mayProbe(Servers.at(i).Probes, now))
     probe(i, now, actions);
 }
 
@@ -123,7 +123,8 @@
            .Why = Reason::BackendUnreachable,
            .Backend = backend.Info.Id},
           now, actions);
-  actions.emplace_back(ShareDoubt{.Id = backend.Info.Id});
+  if (Options.Use.SharedDoubts)
+    actions.emplace_back(ShareDoubt{.Id = backend.Info.Id});
   resetHopelessFlowsOf(i, now, actions);
 }
 
@@ -202,8 +203,11 @@
   std::vector<FlowKey> hopeless;
   for (const auto &[key, flow] : Flows) {
     const Route *route = Routes.find(key.Destination);
-    if (flow.Backend == i && route && !flow.Opening &&
-        flow.Busy == route->Idempotent)
+    if (flow.Backend != i || !route || flow.Opening)
+      continue;
+    bool repeatable = flow.Busy && route->Idempotent;
+    bool idle = !flow.Busy && !route->Idempotent;
+    if (repeatable || (idle && Options.Use.IdleResets))
       hopeless.push_back(key);
   }
   resetFlows(hopeless, Reason::BackendUnreachable, now, actions);
--- a/tests/EdgeSettingsTest.cpp
+++ b/tests/EdgeSettingsTest.cpp
@@ -61,8 +61,25 @@
   CPPUNIT_TEST(keepsItsTimesWithinTheDeploymentsBounds);
   CPPUNIT_TEST(readsTheTemplateOnceFilledIn);
   CPPUNIT_TEST(takesOverWhatARunningInstanceCan);
+  CPPUNIT_TEST(switchesMechanismsOff);
   CPPUNIT_TEST_SUITE_END();
 
+  void switchesMechanismsOff() {
+    Findings findings;
+    expectTrue(switchedOff(*read(Good, findings)).empty(), "all are on");
+    auto without = read(Good + "[mechanisms]\nprobes = false\n"
+                               "suspicion = true\n",
+                        findings);
+    expectTrue(switchedOff(*without) == std::vector<std::string>{"probes"},
+               "this one alone");
+    expectTrue(!without->Core.Use.Probes && without->Core.Use.Suspicion,
+               "as the core has it");
+    std::string text =
+        findingsOf(Good + "[mechanisms]\nprobing = false\nprobes = 1\n");
+    expectTrue(text.find("probing") != std::string::npos, text);
+    expectTrue(text.find("probes") != std::string::npos, text);
+  }
+
   void readsAFile() {
     Findings findings;
     auto settings = read(Good, findings);
