What an instance writes to the registry has a duty of its own

One fault mended on the way: an instance that began to leave while a renewal was under way never said so in its record; it does once the call has ended.

--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -1,5 +1,7 @@
 #include "NewsDuty.h"
 
+#include "RegistryCalls.h"
+
 #include <algorithm>
 #include <array>
 #include <sys/epoll.h>
@@ -11,23 +13,9 @@
 
 // Peers answer from memory; one that does not is slow or gone.
 constexpr Duration PeerTimeout = std::chrono::milliseconds(500);
-constexpr Duration RecordTimeout = std::chrono::milliseconds(1500);
 constexpr size_t ReadBytes = 2048;
 constexpr int ReadsAtOnce = 64;
 
-NewsAnswer plain(const HttpClient::Result &result) {
-  if (!result)
-    return {};
-  return {.Status = result->Status, .Body = result->Body};
-}
-
-HttpCall httpCall(RegistryCall call, Duration timeout) {
-  return {.Method = std::move(call.Method),
-          .Target = std::move(call.Target),
-          .Body = std::move(call.Body),
-          .Timeout = timeout};
-}
-
 } // namespace
 
 NewsDuty::NewsDuty(Loop &loop, Log &log, const EdgeSettings &settings,
@@ -42,44 +30,36 @@
               .ApplyWithin = settings.Core.ApplyWithin,
               .RetryMost = settings.News.RetryMost,
               .Seed = settings.Core.Seed}),
-      Record(dialect,
-             {.Id = InstanceId{settings.Ip},
-              .Zone = settings.Zone,
-              .Peers = settings.Peers},
-             {}),
-      Recorder(dialect), Registry(loop, settings.Ip, settings.Registry),
-      RecordCalls(loop, settings.Ip, settings.Registry) {
+      Records(loop, log, settings, dialect),
+      Registry(loop, settings.Ip, settings.Registry) {
   Events.watch(Socket.get(), EPOLLIN, [this](uint32_t) { readPushes(); });
 }
 
 void NewsDuty::run(Time now) {
   Registry.expire(now);
-  RecordCalls.expire(now);
+  Records.expire(now);
   if (Peer)
     Peer->expire(now);
   passNews();
   shareDoubts(now);
+  learnRecord(now);
+  if (Reader.complete())
+    Records.run(Reader.away(now), Spread.patience(), now);
   if (!Leaving) {
     callRegistry(now);
-    callAnnouncer(now);
-    callRecorder(now);
     noteRegistry(now);
   }
   remindOthers(now);
 }
 
 Time NewsDuty::nextAt() const {
-  Time out = std::min(Registry.deadline(), RecordCalls.deadline());
+  Time out = std::min(Registry.deadline(), Records.deadline());
   if (Peer)
     out = std::min(out, Peer->deadline());
-  if (Leaving)
-    return out;
-  if (!Registry.busy())
+  if (Reader.complete())
+    out = std::min(out, Records.nextAt(Away, Spread.patience()));
+  if (!Leaving && !Registry.busy())
     out = std::min(out, Reader.nextAt());
-  if (!RecordCalls.busy() && Reader.complete())
-    out = std::min(out, Record.nextAt());
-  if (mayRecord(steadyNow()))
-    out = std::min(out, Recorder.nextAt(Spread.patience()));
   return out;
 }
 
@@ -93,56 +73,18 @@
                 [this](const HttpClient::Result &it) { takeAnswer(it); });
 }
 
-void NewsDuty::callAnnouncer(Time now) {
-  // Serving comes first.
-  if (RecordCalls.busy() || !Reader.complete())
-    return;
-  std::optional<RegistryCall> call = Record.next(now);
-  if (!call)
-    return;
-  RecordCalls.call(httpCall(std::move(*call), RecordTimeout),
-                   [this](const HttpClient::Result &it) {
-                     Record.answered(plain(it), steadyNow());
-                   });
-}
-
-/// What was not read yet must not be taken for missing, and calls to a registry
-/// that is away are wasted.
-bool NewsDuty::mayRecord(Time now) const {
-  return Settings.Core.Use.RouteRecord && !RecordCalls.busy() &&
-         Reader.complete() && !Reader.away(now);
-}
-
-void NewsDuty::callRecorder(Time now) {
-  learnRecord(now);
-  if (!mayRecord(now))
-    return;
-  std::optional<RegistryCall> call = Recorder.next(Spread.patience(), now);
-  if (!call)
-    return;
-  RecordCalls.call(
-      httpCall(std::move(*call), RecordTimeout),
-      [this](const HttpClient::Result &it) {
-        NewsAnswer answer = plain(it);
-        Recorder.answered(answer, steadyNow());
-        Lines.write(LogLine("routes_recorded").with("status", answer.Status));
-      });
-}
-
 /// Comes after the news was passed on: callers who wait for the first news
 /// must not wait for this as well.
 void NewsDuty::learnRecord(Time now) {
   if (!std::exchange(RoutesChanged, false))
     return;
-  if (const token::RouteSet *routes = Reader.mirror().routes())
-    Recorder.learn(*routes, now);
-  Recorder.learn(Reader.routeRecords(), Settings.Core.MaxFlowAge, now);
+  Records.learn(Reader.mirror().routes(), Reader.routeRecords(), now);
 }
 
 void NewsDuty::takeAnswer(const HttpClient::Result &result) {
   Time now = steadyNow();
   std::vector<token::Event> news;
-  bool learned = Reader.answered(plain(result), now, news);
+  bool learned = Reader.answered(newsAnswer(result), now, news);
   tell(std::move(news), now);
   if (!result)
     Lines.write(LogLine("registry_call_failed")
@@ -168,7 +110,7 @@
     Lines.write(LogLine("bad_item").with("finding", it.text()));
   if (Reader.peers() != Others.known())
     takePeers(now);
-  Record.seen(Others.known().contains(InstanceId{Settings.Ip}), now);
+  Records.seen(Others.known().contains(InstanceId{Settings.Ip}), now);
 }
 
 void NewsDuty::takePeers(Time now) {
@@ -398,14 +340,9 @@
 
 void NewsDuty::leave() {
   Leaving = true;
-  std::optional<RegistryCall> call = Record.end();
-  if (!call || RecordCalls.busy())
-    return;
-  RecordCalls.call(httpCall(std::move(*call), RecordTimeout),
-                   [this](const HttpClient::Result &it) {
-                     // Nothing else is asked of the registry any more.
-                     Away = Away || !it;
-                   });
+  // Nothing else is asked of the registry any more, so this shows best whether
+  // it is away.
+  Records.leave([this] { Away = true; });
 }
 
 } // namespace chicory::edge
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -6,14 +6,13 @@
 
 #include "Http.h"
 #include "Log.h"
+#include "RecordDuty.h"
 #include "Shared.h"
 
-#include "chicorybank/edge/Announcer.h"
 #include "chicorybank/edge/DoubtLog.h"
 #include "chicorybank/edge/FragmentAssembler.h"
 #include "chicorybank/edge/NewsSpread.h"
 #include "chicorybank/edge/Reminders.h"
-#include "chicorybank/edge/RouteRecorder.h"
 #include "chicorybank/edge/Settings.h"
 
 #include <deque>
@@ -48,13 +47,12 @@
   void leave();
   const NewsStats &stats() const { return Reader.stats(); }
   const PeerStats &peerStats() const { return Traffic; }
-  const RouteRecorderStats &recorderStats() const { return Recorder.stats(); }
+  const RouteRecorderStats &recorderStats() const {
+    return Records.recorderStats();
+  }
 
 private:
   void callRegistry(Time now);
-  void callAnnouncer(Time now);
-  bool mayRecord(Time now) const;
-  void callRecorder(Time now);
   void learnRecord(Time now);
   void takeAnswer(const HttpClient::Result &result);
   void readPushes();
@@ -85,10 +83,8 @@
   FileDescriptor Socket;
   NewsReader Reader;
   NewsSpread Spread;
-  Announcer Record;
-  RouteRecorder Recorder;
+  RecordDuty Records;
   HttpClient Registry;
-  HttpClient RecordCalls;
   std::unique_ptr<HttpClient> Peer;
   InstanceId PeerId;
   std::deque<token::Event> Pending;
--- /dev/null
+++ b/lib/edge/RecordDuty.cpp
@@ -0,0 +1,97 @@
+#include "RecordDuty.h"
+
+#include "RegistryCalls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicory::edge {
+
+namespace {
+
+// A write that takes longer is given up and made again: some 400 times what the
+// registry takes as a rule.
+constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
+
+} // namespace
+
+RecordDuty::RecordDuty(Loop &loop, Log &log, const EdgeSettings &settings,
+                       const RegistryDialect &dialect)
+    : Lines(log), Settings(settings), Record(dialect,
+                                             {.Id = InstanceId{settings.Ip},
+                                              .Zone = settings.Zone,
+                                              .Peers = settings.Peers},
+                                             {}),
+      Recorder(dialect), Calls(loop, settings.Ip, settings.Registry) {}
+
+/// Calls to a registry that is away are wasted.
+bool RecordDuty::mayRecord(bool away) const {
+  return Settings.Core.Use.RouteRecord && !away;
+}
+
+void RecordDuty::run(bool away, Duration patience, Time now) {
+  if (Calls.busy())
+    return;
+  if (Leaving)
+    return sayThatItLeaves();
+  if (auto call = Record.next(now))
+    return announce(std::move(*call));
+  if (!mayRecord(away))
+    return;
+  if (auto call = Recorder.next(patience, now))
+    recordRoutes(std::move(*call));
+}
+
+Time RecordDuty::nextAt(bool away, Duration patience) const {
+  if (Calls.busy())
+    return Calls.deadline();
+  if (Leaving)
+    return LeaveFailed ? Time{} : Time::max();
+  Time out = Record.nextAt();
+  return mayRecord(away) ? std::min(out, Recorder.nextAt(patience)) : out;
+}
+
+void RecordDuty::announce(RegistryCall call) {
+  Calls.call(httpCall(std::move(call), CallTimeout),
+             [this](const HttpClient::Result &it) {
+               Record.answered(newsAnswer(it), steadyNow());
+             });
+}
+
+void RecordDuty::recordRoutes(RegistryCall call) {
+  Calls.call(httpCall(std::move(call), CallTimeout),
+             [this](const HttpClient::Result &it) {
+               NewsAnswer answer = newsAnswer(it);
+               Recorder.answered(answer, steadyNow());
+               Lines.write(
+                   LogLine("routes_recorded").with("status", answer.Status));
+             });
+}
+
+void RecordDuty::learn(const token::RouteSet *routes,
+                       const RouteRecords &stored, Time now) {
+  if (routes)
+    Recorder.learn(*routes, now);
+  Recorder.learn(stored, Settings.Core.MaxFlowAge, now);
+}
+
+void RecordDuty::leave(std::function<void()> failed) {
+  Leaving = true;
+  LeaveFailed = std::move(failed);
+}
+
+void RecordDuty::sayThatItLeaves() {
+  if (!LeaveFailed)
+    return;
+  auto failed = std::exchange(LeaveFailed, nullptr);
+  std::optional<RegistryCall> call = Record.end();
+  if (!call)
+    return;
+  Calls.call(httpCall(std::move(*call), CallTimeout),
+             [failed](const HttpClient::Result &it) {
+               if (!it)
+                 failed();
+             });
+}
+
+} // namespace chicory::edge
