--- a/lib/base/TomlReader.cpp
+++ b/lib/base/TomlReader.cpp
@@ -1,7 +1,7 @@
 #include "chicorybank/base/TomlReader.h"
 
+#include <algorithm>
 #include <charconv>
-
 #include <utility>
 
 namespace chicory {
@@ -42,8 +42,72 @@
   return {.File = file, .Line = begin.line, .Column = begin.column};
 }
 
+namespace {
+
+/// Looks for characters that TOML has in strings and comments alone.
+///
+/// What goes wrong without: the library is undefined for some of them between
+/// values, where an operator may well have pasted one; one sees a program that
+/// ends while it reads a file.
+class PlainTextCheck {
+public:
+  explicit PlainTextCheck(std::string_view text) : Text(text) {}
+
+  /// The place of the first such character, if there is one.
+  std::optional<Place> find(const std::string &file) {
+    while (At < Text.size()) {
+      char it = Text[At];
+      if (it == '#')
+        passUntil("\n");
+      else if (it == '"' || it == '\'')
+        passString(it);
+      else if (static_cast<unsigned char>(it) > 0x7f)
+        return placeAt(file);
+      else
+        ++At;
+    }
+    return std::nullopt;
+  }
+
+private:
+  void passUntil(std::string_view end) {
+    At = std::min(Text.find(end, At), Text.size());
+  }
+  void passString(char quote) {
+    std::string end(3, quote);
+    bool multiline = Text.substr(At).starts_with(end);
+    if (!multiline)
+      end.resize(1);
+    At += end.size();
+    while (At < Text.size() && !Text.substr(At).starts_with(end)) {
+      if (!multiline && Text[At] == '\n')
+        return;
+      At += quote == '"' && Text[At] == '\\' ? 2 : 1;
+    }
+    At = std::min(At + end.size(), Text.size());
+  }
+  Place placeAt(const std::string &file) const {
+    std::string_view before = Text.substr(0, At);
+    size_t lineBegin = before.rfind('\n') + 1; // Nothing found: zero.
+    auto lines = std::count(before.begin(), before.end(), '\n');
+    return {.File = file,
+            .Line = static_cast<uint32_t>(lines) + 1,
+            .Column = static_cast<uint32_t>(At - lineBegin) + 1};
+  }
+
+  std::string_view Text;
+  size_t At = 0;
+};
+
+} // namespace
+
 std::optional<toml::table>
 parseToml(std::string_view text, const std::string &file, Findings &findings) {
+  if (auto place = PlainTextCheck(text).find(file)) {
+    findings.add(*place, "only strings and comments may have characters "
+                         "beyond ASCII");
+    return std::nullopt;
+  }
   toml::parse_result result = toml::parse(text, file);
   if (result)
     return std::move(result).table();
--- a/lib/edge/RouteLedger.cpp
+++ b/lib/edge/RouteLedger.cpp
@@ -74,10 +74,11 @@
 void RouteLedger::learn(const RouteRecords &stored, Duration maxFlowAge,
                         Time now) {
   std::set<token::RoutePair> recorded = pairsOf(stored);
-  for (auto &[where, entries] : Pairs)
-    std::erase_if(entries, [&](const Entry &it) {
-      bool kept = recorded.erase({.Where = where, .Service = it.Service}) != 0;
-      return !kept && expired(it, maxFlowAge, now);
+  for (auto &it : Pairs)
+    std::erase_if(it.second, [&](const Entry &entry) {
+      bool kept =
+          recorded.erase({.Where = it.first, .Service = entry.Service}) != 0;
+      return !kept && expired(entry, maxFlowAge, now);
     });
   for (const token::RoutePair &it : recorded) {
     Entries &entries = Pairs[it.Where];
--- a/tests/EdgeSettingsTest.cpp
+++ b/tests/EdgeSettingsTest.cpp
@@ -62,8 +62,25 @@
   CPPUNIT_TEST(readsTheTemplateOnceFilledIn);
   CPPUNIT_TEST(takesOverWhatARunningInstanceCan);
   CPPUNIT_TEST(switchesMechanismsOff);
+  CPPUNIT_TEST(refusesCharactersBetweenValues);
   CPPUNIT_TEST_SUITE_END();
 
+  // Symptom: a program ends while it reads its settings, or reads them wrong.
+  // Sequence: a no-break space was pasted before a value.
+  // Cause: the TOML library is undefined for some characters there.
+  void refusesCharactersBetweenValues() {
+    std::string space = replaced("peer_port = 7720", "peer_port =\u00a07720");
+    expectEqual<std::string>("edge.toml:8:12: only strings and comments may "
+                             "have characters beyond ASCII\n",
+                             findingsOf(space));
+    expectTrue(!findingsOf("[in\xef\xbb\xbd[").empty(), "in a bare key");
+    Findings findings;
+    auto named =
+        read(replaced("\"gikondo\"", "\"Šiška \\\" – é\"") + "# é\n", findings);
+    expectEqual<std::string>("", findings.text());
+    expectEqual<std::string>("Šiška \" – é", named->Zone);
+  }
+
   void switchesMechanismsOff() {
     Findings findings;
     expectTrue(switchedOff(*read(Good, findings)).empty(), "all are on");
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -34,8 +34,26 @@
   CPPUNIT_TEST(leavesOutWhatNeedsTooManyDatagrams);
   CPPUNIT_TEST(refusesDamagedFragments);
   CPPUNIT_TEST(carriesADoubt);
+  CPPUNIT_TEST(believesNoLengthThatCannotBe);
   CPPUNIT_TEST_SUITE_END();
 
+  // Symptom: an instance runs out of memory.
+  // Sequence: a stray datagram of 18 bytes whose last part claims to be a map
+  // of 3.7 billion entries; a list or a text that claims as much.
+  // Cause: room made for what a message claims to hold.
+  void believesNoLengthThatCannotBe() {
+    using namespace std::string_literals;
+    const std::string head = "\x97\x01\x0b\x00\x69\xe9\xf7\x98\xfd"s;
+    for (const std::string &bytes :
+         {head + "\x7f\x00\x00\xdf\xdf\xdf\xdf\xdf\xdf"s,
+          "\xdd\xff\xff\xff\xff"s, "\x91\xdb\xff\xff\xff\xff"s,
+          "\x91\xc6\xff\xff\xff\xff"s, "\xdd\xff"s, "\x92\x01"s, ""s}) {
+      auto message = decodeDatagram(bytes);
+      expectTrue(!message && message.error() == Reason::BadPeerMessage,
+                 "it is refused");
+    }
+  }
+
   void comesOutAsItWentIn() {
     auto out = decodePush(encodePush(sample(100)));
     expectTrue(out.has_value(), "it can be read");
--- /dev/null
+++ b/tests/fuzz/peer_message.cpp
@@ -0,0 +1,26 @@
+// Datagrams of other instances, and messages put together from pieces.
+
+#include "Fuzz.h"
+
+#include "chicorybank/edge/FragmentAssembler.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
+  using namespace chicory::edge;
+  std::span bytes(reinterpret_cast<const char *>(data), size);
+  auto push = decodePush(bytes);
+  if (push) {
+    // Items that don't fit are left out, so the copy may have fewer.
+    auto again = decodePush(encodePush(*push, SIZE_MAX));
+    require(again && again->Page.Items == push->Page.Items);
+  }
+  auto message = decodeDatagram(bytes);
+  if (!message)
+    return 0;
+  if (auto *fragment = std::get_if<Fragment>(&*message)) {
+    require(fragment->Index < fragment->Count);
+    FragmentAssembler pieces;
+    auto whole = pieces.take(*fragment);
+    require(whole.has_value() == (fragment->Count == 1));
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/registry_item.cpp
@@ -0,0 +1,34 @@
+// Values below the keys that an instance reads, by any writer. The first byte
+// chooses the key.
+
+#include "Fuzz.h"
+
+#include "platform/StoreDialect.h"
+
+#include <array>
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
+  using namespace chicory;
+  if (size == 0)
+    return 0;
+  constexpr std::array Keys = {"op/config", "servers/i-7f",
+                               "chicorybank/instances/10.0.0.1",
+                               "chicorybank/routes/3"};
+  const platform::StoreDialect dialect;
+  edge::Item item{.Key = Keys[data[0] % Keys.size()],
+                  .Value = textOf(data + 1, size - 1),
+                  .Revision = 5,
+                  .Created = 4};
+  Findings findings;
+  edge::News news = dialect.translate(item, findings);
+  if (const auto *server = std::get_if<token::Registration>(&news)) {
+    require(findings.empty());
+    require(server->Slots > 0 && server->Born >= 0 &&
+            server->WarmUpLeft >= Duration::zero());
+  }
+  if (const auto *record = std::get_if<edge::RouteRecord>(&news)) {
+    (void)dialect.writeRouteRecords({*record});
+    require(record->Part < edge::RouteRecordParts);
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/settings.cpp
@@ -0,0 +1,13 @@
+// Settings files: refused with findings, or read whole.
+
+#include "Fuzz.h"
+
+#include "chicorybank/edge/Settings.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
+  chicory::Findings findings;
+  auto settings = chicory::edge::readEdgeSettings(textOf(data, size),
+                                                  "edge.toml", findings);
+  require(settings.has_value() == findings.empty());
+  return 0;
+}
