Instances that left are reminded each 200 ms

Ruled out: the time to read the copy (10 ms).

Change: those that have left, few and likely to start, are told each 200 ms.

--- a/include/chicorybank/edge/Reminders.h
+++ b/include/chicorybank/edge/Reminders.h
@@ -22,17 +22,25 @@
 /// Remembers who has left, and when others are next told.
 class Reminders {
 public:
-  /// About the pace at which news comes otherwise.
+  /// Registered instances are told about at the pace of other news: one of them
+  /// may have been killed and be back.
   static constexpr Duration Every = std::chrono::milliseconds(700);
+  /// Those that have left are few, and each may start at any moment; its
+  /// packets wait for 200 ms before they are dropped. The news of all
+  /// neighbours goes stale at the same moment, so they don't fill each other's
+  /// gaps.
+  static constexpr Duration FormerEvery = std::chrono::milliseconds(200);
   /// An instance that left may be back at its address, as in a rolling restart.
   static constexpr Duration FormerFor = std::chrono::seconds(30);
 
   /// The registered instances are now these.
   void learn(const std::map<InstanceId, PeerRecord> &peers, Time now);
-  /// True where others are to be told now.
+  /// Whether the registered instances are to be told now.
   bool due(bool away, Time now);
-  /// Instances that have left, or are leaving, and may be back.
-  std::vector<Address> former(Time now) const;
+  /// Instances to be told now that have left, or are leaving, and may be back.
+  std::vector<Address> dueFormer(bool away, Time now);
+  /// When either is due while the registry is away.
+  Time nextAt(bool away) const;
   const std::map<InstanceId, PeerRecord> &known() const { return Known; }
 
 private:
@@ -43,6 +51,7 @@
   std::map<InstanceId, PeerRecord> Known;
   std::map<InstanceId, Left> Former;
   Time DueAt;
+  Time FormerDueAt;
 };
 
 } // namespace chicory::edge
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -58,6 +58,8 @@
     out = std::min(out, Peer->deadline());
   if (Reader.complete())
     out = std::min(out, Records.nextAt(Away, Spread.patience()));
+  if (mayRemind())
+    out = std::min(out, Others.nextAt(Away));
   if (!Leaving && !Registry.busy())
     out = std::min(out, Reader.nextAt());
   return out;
@@ -242,17 +244,24 @@
 }
 
 void NewsDuty::remindOthers(Time now) {
-  if (!Settings.Core.Use.Reminders || !Reader.knowsAll() ||
-      !Others.due(Away, now))
+  if (!mayRemind())
+    return;
+  if (Others.due(Away, now))
+    sendPush(true, now);
+  std::vector<Address> former = Others.dueFormer(Away, now);
+  if (former.empty())
     return;
-  sendPush(true, now);
   NewsPush push =
       Reader.push(InstanceId{Settings.Ip}, Reader.mirror().revision(), now);
   std::string bytes = encodePush(push);
-  for (Address it : Others.former(now))
+  for (Address it : former)
     send(bytes, it);
 }
 
+bool NewsDuty::mayRemind() const {
+  return Settings.Core.Use.Reminders && Reader.knowsAll();
+}
+
 void NewsDuty::pullSeed(InstanceId from) {
   if (Peer && Peer->busy())
     return;
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -66,6 +66,7 @@
   void takeSeed(const HttpClient::Result &result);
   void connectPeer(InstanceId id, Address at);
   void remindOthers(Time now);
+  bool mayRemind() const;
   void takePeers(Time now);
   void takePulled(const HttpClient::Result &result, InstanceId from,
                   bool whole);
--- a/lib/edge/Reminders.cpp
+++ b/lib/edge/Reminders.cpp
@@ -1,5 +1,7 @@
 #include "chicorybank/edge/Reminders.h"
 
+#include <algorithm>
+
 namespace chicory::edge {
 
 void Reminders::learn(const std::map<InstanceId, PeerRecord> &peers, Time now) {
@@ -22,12 +24,21 @@
   return true;
 }
 
-std::vector<Address> Reminders::former(Time now) const {
+std::vector<Address> Reminders::dueFormer(bool away, Time now) {
   std::vector<Address> out;
+  if (!away || now < FormerDueAt)
+    return out;
+  FormerDueAt = now + FormerEvery;
   for (const auto &[id, left] : Former)
     if (now - left.At <= FormerFor)
       out.push_back(left.Where);
   return out;
 }
 
+Time Reminders::nextAt(bool away) const {
+  if (!away)
+    return Time::max();
+  return Former.empty() ? DueAt : std::min(DueAt, FormerDueAt);
+}
+
 } // namespace chicory::edge
--- a/tests/RemindersTest.cpp
+++ b/tests/RemindersTest.cpp
@@ -18,6 +18,11 @@
   return out;
 }
 
+/// Those that a fresh copy would tell at a time.
+std::vector<Address> formerOf(Reminders it, Time now) {
+  return it.dueFormer(true, now);
+}
+
 } // namespace
 
 class RemindersTest : public CppUnit::TestFixture {
@@ -37,11 +42,12 @@
     some[InstanceId{2}].Leaving = true;
     Reminders it;
     it.learn(some, Start);
-    expectTrue(it.former(Start) == std::vector{Address{2, 7}}, "it leaves");
+    expectTrue(formerOf(it, Start) == std::vector{Address{2, 7}}, "it leaves");
     it.learn(peers({1}), Start + 8s);
-    expectTrue(it.former(Start + 38s) == std::vector{Address{2, 7}}, "it left");
+    expectTrue(formerOf(it, Start + 38s) == std::vector{Address{2, 7}},
+               "it left");
     it.learn(peers({1, 2}), Start + 9s);
-    expectTrue(it.former(Start + 9s).empty(), "it is back");
+    expectTrue(formerOf(it, Start + 9s).empty(), "it is back");
   }
 
   void remindsWhileTheRegistryIsAway() {
@@ -50,6 +56,17 @@
     expectTrue(it.due(true, Start), "away");
     expectTrue(!it.due(true, Start + 600ms), "a moment ago");
     expectTrue(it.due(true, Start + 700ms), "again");
+    expectTrue(it.nextAt(false) == Time::max(), "nothing is due");
+    expectTrue(it.nextAt(true) == Start + 1400ms, "the next one");
+    section("those that have left are told more often", [&] {
+      it.learn(peers({1}), Start);
+      it.learn(peers({}), Start);
+      expectTrue(it.dueFormer(false, Start).empty(), "all is well");
+      expectEqual<size_t>(1, it.dueFormer(true, Start).size());
+      expectTrue(it.dueFormer(true, Start + 100ms).empty(), "a moment ago");
+      expectTrue(it.nextAt(true) == Start + 200ms, "soon");
+      expectEqual<size_t>(1, it.dueFormer(true, Start + 200ms).size());
+    });
   }
 
   // Symptom: an instance that restarts in a cut-off zone serves nobody.
@@ -59,12 +76,12 @@
   void remembersWhoHasLeft() {
     Reminders it;
     it.learn(peers({1, 2}), Start);
-    expectTrue(it.former(Start).empty(), "nobody has");
+    expectTrue(formerOf(it, Start).empty(), "nobody has");
     it.learn(peers({1}), Start + 1s);
-    expectTrue(it.former(Start + 31s) == std::vector{Address{2, 7}}, "one");
-    expectTrue(it.former(Start + 32s).empty(), "not for ever");
+    expectTrue(formerOf(it, Start + 31s) == std::vector{Address{2, 7}}, "one");
+    expectTrue(formerOf(it, Start + 32s).empty(), "not for ever");
     it.learn(peers({1, 2}), Start + 2s);
-    expectTrue(it.former(Start + 2s).empty(), "it is back");
+    expectTrue(formerOf(it, Start + 2s).empty(), "it is back");
   }
 };
 
