--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -44,6 +44,50 @@
       << name << "_count " << below << '\n';
 }
 
+void registryFigures(std::ostringstream &out, const NewsStats &news) {
+  single(out, "chicory_registry_calls_total", "counter", "Registry calls",
+         news.Calls);
+  single(out, "chicory_registry_lists_total", "counter",
+         "Registry calls that read everything", news.Lists);
+  single(out, "chicory_registry_failures_total", "counter",
+         "Registry calls without a good answer", news.Failures);
+  single(out, "chicory_registry_refused_total", "counter",
+         "Registry calls refused with 429 or 503", news.Refused);
+  single(out, "chicory_bad_registry_answers_total", "counter",
+         "Answers that can't be read", news.BadAnswers);
+  single(out, "chicory_bad_registry_items_total", "counter",
+         "Items that can't be read", news.BadItems);
+}
+
+void recordFigures(std::ostringstream &out,
+                   const RouteRecorderStats &recorder) {
+  single(out, "chicory_route_record_writes_total", "counter",
+         "Writes of the record of routes that held", recorder.Written);
+  single(out, "chicory_route_record_refused_total", "counter",
+         "Writes of the record of routes after another instance's",
+         recorder.Refused);
+  single(out, "chicory_route_record_failures_total", "counter",
+         "Writes of the record of routes without a good answer",
+         recorder.Failed);
+}
+
+void peerFigures(std::ostringstream &out, const NewsStats &news,
+                 const PeerStats &peers) {
+  single(out, "chicory_news_pushes_total", "counter",
+         "Pushes of news from other instances", news.Pushes);
+  single(out, "chicory_news_pulls_total", "counter",
+         "News read from other instances", news.Pulls);
+  single(out, "chicory_peer_messages_total", "counter",
+         "Messages sent to other instances", peers.Messages);
+  single(out, "chicory_peer_bytes_total", "counter",
+         "Bytes of messages sent to other instances", peers.Bytes);
+  single(out, "chicory_bad_peer_messages_total", "counter",
+         "Messages from instances that can't be read", peers.Bad);
+  single(out, "chicory_doubts_heard_total", "counter",
+         "Messages of instances that can't reach a backend server",
+         peers.Doubts);
+}
+
 } // namespace
 
 std::string renderEdgeMetrics(const EdgeStats &edge, const NewsStats &news,
@@ -89,39 +133,9 @@
          "Datagrams that the system refused", edge.SendFailures);
   single(out, "chicory_log_lines_dropped_total", "counter",
          "Decisions lost before the log", edge.LogsDropped);
-  single(out, "chicory_registry_calls_total", "counter", "Registry calls",
-         news.Calls);
-  single(out, "chicory_registry_lists_total", "counter",
-         "Registry calls that read everything", news.Lists);
-  single(out, "chicory_registry_failures_total", "counter",
-         "Registry calls without a good answer", news.Failures);
-  single(out, "chicory_registry_refused_total", "counter",
-         "Registry calls refused with 429 or 503", news.Refused);
-  single(out, "chicory_bad_registry_answers_total", "counter",
-         "Answers that can't be read", news.BadAnswers);
-  single(out, "chicory_bad_registry_items_total", "counter",
-         "Items that can't be read", news.BadItems);
-  single(out, "chicory_route_record_writes_total", "counter",
-         "Writes of the record of routes that held", recorder.Written);
-  single(out, "chicory_route_record_refused_total", "counter",
-         "Writes of the record of routes after another instance's",
-         recorder.Refused);
-  single(out, "chicory_route_record_failures_total", "counter",
-         "Writes of the record of routes without a good answer",
-         recorder.Failed);
-  single(out, "chicory_news_pushes_total", "counter",
-         "Pushes of news from other instances", news.Pushes);
-  single(out, "chicory_news_pulls_total", "counter",
-         "News read from other instances", news.Pulls);
-  single(out, "chicory_peer_messages_total", "counter",
-         "Messages sent to other instances", peers.Messages);
-  single(out, "chicory_peer_bytes_total", "counter",
-         "Bytes of messages sent to other instances", peers.Bytes);
-  single(out, "chicory_bad_peer_messages_total", "counter",
-         "Messages from instances that can't be read", peers.Bad);
-  single(out, "chicory_doubts_heard_total", "counter",
-         "Messages of instances that can't reach a backend server",
-         peers.Doubts);
+  registryFigures(out, news);
+  recordFigures(out, recorder);
+  peerFigures(out, news, peers);
   single(out, "chicory_flows", "gauge", "Flows followed", edge.Flows);
   single(out, "chicory_servers", "gauge", "Backend servers that live",
          edge.Servers);
--- a/tests/RemindersTest.cpp
+++ b/tests/RemindersTest.cpp
@@ -11,7 +11,7 @@
 
 constexpr Time Start{100s};
 
-std::map<InstanceId, PeerRecord> peers(std::vector<uint32_t> ids) {
+std::map<InstanceId, PeerRecord> peers(const std::vector<uint32_t> &ids) {
   std::map<InstanceId, PeerRecord> out;
   for (uint32_t it : ids)
     out[InstanceId{it}] = {.Id = InstanceId{it}, .Zone = "a", .Peers = {it, 7}};
--- a/tests/RouteLedgerTest.cpp
+++ b/tests/RouteLedgerTest.cpp
@@ -15,7 +15,8 @@
 constexpr Time Start{100s};
 constexpr Duration FlowAge = 60s;
 
-token::RouteSet routes(uint64_t version, std::vector<ServiceId> services) {
+token::RouteSet routes(uint64_t version,
+                       const std::vector<ServiceId> &services) {
   token::RouteSet out{.Version = RuleVersion{version}};
   token::Route route{.Where = Feed};
   for (ServiceId it : services)
