--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -43,7 +43,7 @@
   Draining,
   Missing, ///< Its registration is gone, but that may be the registry's fault.
   Unreadable, ///< Its registration can't be read; keeps its flows meanwhile.
-  Gone,       ///< It has ended and never comes back under this id.
+  Gone,       ///< It has ended; a later life of it may come under this id.
 };
 
 /// One backend server.
--- a/include/chicorybank/token/Types.h
+++ b/include/chicorybank/token/Types.h
@@ -15,8 +15,9 @@
 
 namespace chicory::token {
 
-/// One start of a backend server. A restart has another id, so an address that
-/// is in use again can't be mistaken for its former owner.
+/// A backend server. Another server has another id, so an address that is in
+/// use again can't be mistaken for its former owner; a restart may keep the id
+/// (`Registration::Born`).
 using BackendId = StrongId<struct BackendTag, uint64_t>;
 
 /// What both ends of a flow return. Zero means "none".
