--- a/tests/RouteRecorderTest.cpp
+++ b/tests/RouteRecorderTest.cpp
@@ -29,6 +29,13 @@
   return out;
 }
 
+const rapidjson::Value &member(const rapidjson::Value &object,
+                               const char *name) {
+  auto it = object.FindMember(name);
+  expectTrue(it != object.MemberEnd(), name);
+  return it->value;
+}
+
 /// The store's part: the routes, and the record behind its conditions.
 class Deployment {
 public:
@@ -43,21 +50,21 @@
   int execute(const RegistryCall &call) {
     rapidjson::Document json;
     json.Parse(call.Body.c_str());
-    for (const auto &it : json["expect"].GetArray()) {
+    for (const auto &it : member(json, "expect").GetArray()) {
       auto old = Records.find(partOf(it));
       int64_t revision = old == Records.end() ? 0 : old->second.Revision;
-      if (revision != it["revision"].GetInt64())
+      if (revision != member(it, "revision").GetInt64())
         return 412;
     }
     ++Revision;
-    for (const auto &it : json["puts"].GetArray())
-      put(it["key"].GetString(), it["value"].GetString());
+    for (const auto &it : member(json, "puts").GetArray())
+      put(member(it, "key").GetString(), member(it, "value").GetString());
     return Ok;
   }
 
 private:
   static uint32_t partOf(const rapidjson::Value &row) {
-    std::string key = row["key"].GetString();
+    std::string key = member(row, "key").GetString();
     return static_cast<uint32_t>(std::stoul(key.substr(key.rfind('/') + 1)));
   }
   void put(const std::string &key, const std::string &value) {
