--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -123,9 +123,7 @@
   Findings takeFindings() { return std::exchange(Faults, {}); }
   const std::map<InstanceId, PeerRecord> &peers() const { return Peers; }
   /// What is recorded of routes, by part.
-  const std::map<uint32_t, RouteRecord> &routeRecords() const {
-    return RouteRecords;
-  }
+  const RouteRecords &routeRecords() const { return Recorded; }
   /// Everything was read at least once.
   bool complete() const { return Complete; }
   /// Everything is known, from the registry or from another instance.
@@ -185,7 +183,7 @@
   ItemPage Pages;
   Time ListStartedAt;
   std::map<InstanceId, PeerRecord> Peers;
-  std::map<uint32_t, RouteRecord> RouteRecords;
+  RouteRecords Recorded;
   Findings Faults;
   NewsStats Stats;
 };
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -11,6 +11,7 @@
 #include "chicorybank/base/Findings.h"
 #include "chicorybank/token/Events.h"
 
+#include <map>
 #include <string>
 #include <tl/expected.hpp>
 #include <variant>
@@ -81,6 +82,9 @@
   bool operator==(const RouteRecord &) const = default;
 };
 
+/// The parts that the registry holds, by number.
+using RouteRecords = std::map<uint32_t, RouteRecord>;
+
 /// What one item says; `monostate` for items that don't concern an instance.
 using News = std::variant<std::monostate, token::RouteSet, token::Registration,
                           RegistrationEnded, RegistrationUnreadable, PeerRecord,
--- a/include/chicorybank/edge/RouteLedger.h
+++ b/include/chicorybank/edge/RouteLedger.h
@@ -31,9 +31,6 @@
 
 namespace chicory::edge {
 
-/// The parts that the registry holds, by number.
-using RouteRecords = std::map<uint32_t, RouteRecord>;
-
 /// Knows what the record should say. It does no I/O.
 class RouteLedger {
 public:
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -107,9 +107,9 @@
   }
   if (it == Items.end())
     it = Items.emplace(item.Key, Entry{}).first;
-  // Whoever saw the lapse in between has to hear of the new registration.
   if (std::holds_alternative<token::RouteSet>(news))
     RoutesKey = item.Key;
+  // Whoever saw the lapse in between has to hear of the new registration.
   bool same = sameMeaning(it->second.Meaning, news) &&
               it->second.What.Created == item.Created;
   Digest ^= it->second.Digest;
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -37,23 +37,22 @@
 
 void NewsDuty::run(Time now) {
   Registry.expire(now);
-  Records.expire(now);
   if (Peer)
     Peer->expire(now);
   passNews();
   shareDoubts(now);
   learnRecord(now);
-  if (Reader.complete())
-    Records.run(Reader.away(now), Spread.patience(), now);
   if (!Leaving) {
     callRegistry(now);
     noteRegistry(now);
   }
+  if (Reader.complete())
+    Records.run(Away, Spread.patience(), now);
   remindOthers(now);
 }
 
 Time NewsDuty::nextAt() const {
-  Time out = std::min(Registry.deadline(), Records.deadline());
+  Time out = Registry.deadline();
   if (Peer)
     out = std::min(out, Peer->deadline());
   if (Reader.complete())
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -240,7 +240,7 @@
       servers.Unreadable.push_back(bad->Id);
     } else if (auto *record = std::get_if<RouteRecord>(&it.Meaning)) {
       out.emplace_back(token::PastRoutesLearned{record->Pairs});
-      RouteRecords[record->Part] = std::move(*record);
+      Recorded[record->Part] = std::move(*record);
     } else if (auto *peer = std::get_if<PeerRecord>(&it.Meaning)) {
       if (peer->Gone)
         Peers.erase(peer->Id);
--- a/lib/edge/RecordDuty.cpp
+++ b/lib/edge/RecordDuty.cpp
@@ -30,6 +30,7 @@
 }
 
 void RecordDuty::run(bool away, Duration patience, Time now) {
+  Calls.expire(now);
   if (Calls.busy())
     return;
   if (Leaving)
--- a/lib/edge/RecordDuty.h
+++ b/lib/edge/RecordDuty.h
@@ -19,15 +19,12 @@
   RecordDuty(Loop &loop, Log &log, const EdgeSettings &settings,
              const RegistryDialect &dialect);
 
-  /// Ends calls whose time is over.
-  void expire(Time now) { Calls.expire(now); }
-  /// Starts a call that is due. Serving comes first: call it only once
-  /// everything was read. `away`: the registry does not answer; `patience`: of
-  /// this instance with news.
+  /// Ends a call whose time is over, and starts one that is due. Serving comes
+  /// first: call it only once everything was read. `away`: the registry does
+  /// not answer; `patience`: of this instance with news.
   void run(bool away, Duration patience, Time now);
-  /// When `run` may have something to do, or a call's time is over.
+  /// When `run` may have something to do.
   Time nextAt(bool away, Duration patience) const;
-  Time deadline() const { return Calls.deadline(); }
 
   /// The routes and their record as they were read last.
   void learn(const token::RouteSet *routes, const RouteRecords &stored,
