--- /dev/null
+++ b/tests/StartModel.h
@@ -0,0 +1,172 @@
+// Many instances that start at once, before one registry, in simulated time and
+// without a network: the readers are the product's own, links and registry are
+// a model of what a call costs.
+//
+// The registry answers after 4 ms; its link and each instance's own carry one
+// answer after the other. Processor time is left out: at 0.038 of a core the
+// first page of a list adds some 30 ms to what is modelled here.
+
+#ifndef CHICORYBANK_TESTS_STARTMODEL_H
+#define CHICORYBANK_TESTS_STARTMODEL_H
+
+#include "RegistrySamples.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+
+namespace samples::registry {
+
+/// Sizes and rates of a model.
+struct StartModelOptions {
+  size_t Instances = 300;
+  /// All of them start within this time.
+  Duration StartWithin = 300ms;
+  Duration OneWay = 900us;
+  Duration AnswerAfter = 4ms;
+  double RegistryBytesPerSecond = 125e6;
+  double InstanceBytesPerSecond = 2.5e6;
+  size_t PageItems = 500;
+};
+
+/// What came out of it.
+struct StartOutcome {
+  /// From each start until routes and servers are known, shortest first.
+  std::vector<Duration> ServesAfter;
+  /// Calls, as the registry prices them: one that may be old counts a tenth.
+  double Price = 0;
+
+  Duration share(double part) const {
+    return ServesAfter[static_cast<size_t>(
+        static_cast<double>(ServesAfter.size() - 1) * part)];
+  }
+};
+
+/// Plays the start of all instances until the last one serves.
+class StartModel {
+public:
+  StartModel(const Store &registry, StartModelOptions options)
+      : Registry(registry), Options(options) {
+    for (size_t n = 0; n < options.Instances; ++n)
+      Instances.push_back(std::make_unique<Instance>(n));
+  }
+
+  StartOutcome run() {
+    for (size_t n = 0; n < Instances.size(); ++n) {
+      Instance &it = *Instances[n];
+      it.StartedAt = Start + Options.StartWithin * static_cast<int64_t>(n) /
+                                 static_cast<int64_t>(Instances.size());
+      at(it.StartedAt, [this, &it](Time now) { act(it, now); });
+    }
+    while (Out.ServesAfter.size() < Instances.size() && !Events.empty()) {
+      Event next = Events.top();
+      Events.pop();
+      next.Do(next.At);
+    }
+    std::sort(Out.ServesAfter.begin(), Out.ServesAfter.end());
+    return Out;
+  }
+
+private:
+  struct Instance {
+    explicit Instance(uint64_t seed) : Reader(Dialect, {}, seed) {}
+    platform::StoreDialect Dialect;
+    NewsReader Reader;
+    Time StartedAt;
+    Time LinkFreeAt;
+    bool Routes = false;
+    bool Servers = false;
+    bool Serves = false;
+  };
+  struct Event {
+    Time At;
+    uint64_t Order;
+    std::function<void(Time)> Do;
+    bool operator<(const Event &other) const {
+      return std::pair(At, Order) > std::pair(other.At, other.Order);
+    }
+  };
+
+  void at(Time when, std::function<void(Time)> action) {
+    Events.push({.At = when, .Order = ++Ordered, .Do = std::move(action)});
+  }
+
+  /// An instance makes the call that is due, or comes back when one is.
+  void act(Instance &it, Time now) {
+    if (it.Serves && it.Reader.complete())
+      return;
+    auto call = it.Reader.next(now);
+    if (!call) {
+      Time due = it.Reader.nextAt();
+      if (due != Time::max())
+        at(due, [this, &it](Time then) { act(it, then); });
+      return;
+    }
+    bool old = call->Call.Target.find("serializable") != std::string::npos;
+    constexpr double OldReadPrice = 0.1;
+    Out.Price += old ? OldReadPrice : 1;
+    at(now + Options.OneWay + Options.AnswerAfter,
+       [this, &it, call = call->Call](Time then) { answer(it, call, then); });
+  }
+
+  /// The registry puts an answer on its link, then it is on the instance's.
+  void answer(Instance &it, const RegistryCall &call, Time now) {
+    std::string target = call.Target;
+    if (!Answers.contains(target))
+      Answers[target] = page(call);
+    const NewsAnswer &out = Answers[target];
+    LinkFreeAt = std::max(LinkFreeAt, now) +
+                 onLink(out.Body.size(), Options.RegistryBytesPerSecond);
+    it.LinkFreeAt = std::max(it.LinkFreeAt, LinkFreeAt + Options.OneWay) +
+                    onLink(out.Body.size(), Options.InstanceBytesPerSecond);
+    at(it.LinkFreeAt, [this, &it, &out](Time then) { take(it, out, then); });
+  }
+
+  void take(Instance &it, const NewsAnswer &answer, Time now) {
+    std::vector<token::Event> events;
+    it.Reader.answered(answer, now, events);
+    for (const token::Event &event : events) {
+      it.Routes |= std::holds_alternative<token::RoutesLearned>(event);
+      it.Servers |= std::holds_alternative<token::BackendsLearned>(event);
+    }
+    if (it.Routes && it.Servers && !std::exchange(it.Serves, true))
+      Out.ServesAfter.push_back(now - it.StartedAt);
+    act(it, now);
+  }
+
+  static Duration onLink(size_t bytes, double rate) {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) / rate));
+  }
+
+  /// As `answerOf`, in pages.
+  NewsAnswer page(const RegistryCall &call) const {
+    if (call.Kind != CallKind::List)
+      return answerOf(Registry, call);
+    std::string target =
+        call.Target.substr(0, call.Target.find("&serializable"));
+    size_t after = target.find("&after=");
+    std::string from =
+        after == std::string::npos ? "" : target.substr(after + 7);
+    ItemPage out = Registry.list();
+    std::erase_if(out.Items, [&](const Item &it) { return it.Key <= from; });
+    out.More = out.Items.size() > Options.PageItems;
+    if (out.More)
+      out.Items.resize(Options.PageItems);
+    return {.Status = Ok, .Body = platform::StoreDialect().writePage(out)};
+  }
+
+  const Store &Registry;
+  StartModelOptions Options;
+  std::vector<std::unique_ptr<Instance>> Instances;
+  std::priority_queue<Event> Events;
+  uint64_t Ordered = 0;
+  Time LinkFreeAt;
+  std::map<std::string, NewsAnswer> Answers;
+  StartOutcome Out;
+};
+
+} // namespace samples::registry
+
+#endif
