The order is kept while records lapse; a push that agrees settles a due list

And each failed watch led to a list of 300 kB, whatever a neighbour had told since.

Whoever has seen its own record keeps the order that it knew until the record is back. A list that is due after a failed watch is dropped where a push of current news has the same revision and checksum. Those without a place yet ask within a second of each other in place of a quarter.

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -162,6 +162,8 @@
   void showCurrent(Time at, std::vector<token::Event> &out);
   void tell(std::vector<Change> changes, std::vector<token::Event> &out);
   void startList(Time at);
+  /// The push shows that the list which is due would find nothing.
+  bool settles(const NewsPush &push) const;
   bool pageIsNext() const {
     return State == Phase::Listing || (Reviewing && !AskNow && PageTurn);
   }
--- a/include/chicorybank/edge/NewsSpread.h
+++ b/include/chicorybank/edge/NewsSpread.h
@@ -11,6 +11,10 @@
 // itself for the first, and ask for changes twice a second until it knew
 // better.
 //
+// Records lapse while the registry is away, all of them at once. An instance
+// whose own record is missing keeps the order that it knew until its record is
+// back, which takes a renewal; of the others most live.
+//
 // If the first dies, is cut off or is turned away, no push comes, the next
 // one's patience ends and it asks. Two instances that disagree about the order
 // only cost a call or a datagram more.
@@ -58,10 +62,13 @@
 
 private:
   void setPatience(size_t zoneRank, size_t rank);
+  double share() const;
 
   SpreadOptions Options;
   Duration Patience;
   Duration RetryMost;
+  /// Its own record has been seen.
+  bool Placed = false;
   std::vector<Address> Children;
   std::vector<Address> Heads;
 };
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -255,6 +255,8 @@
     tell(Copy.apply(push.Page, Faults), out);
   if (!late)
     showCurrent(now - push.Age, out);
+  if (!late && settles(push))
+    State = Phase::Watching;
   bool differs =
       push.Page.Revision == Copy.revision() && push.Digest != Copy.digest();
   if (differs && !Waiting && State == Phase::Watching &&
@@ -263,6 +265,17 @@
   return false;
 }
 
+/// A list is due since this copy may have missed a change, and the push is by
+/// someone who has asked the registry since and has the same copy: there was
+/// none. Otherwise hundreds would list at once when the registry is back from
+/// an outage; one sees `registry_calls` with lists of each instance, and the
+/// registry's link full.
+bool NewsReader::settles(const NewsPush &push) const {
+  bool due = State == Phase::Listing && Complete && !Waiting && After.empty();
+  return due && push.Age < Times.AwayAfter &&
+         push.Page.Revision == Copy.revision() && push.Digest == Copy.digest();
+}
+
 void NewsReader::takePull(const ItemPage &page, bool whole,
                           std::vector<token::Event> &out) {
   ++Stats.Pulls;
--- a/lib/edge/NewsSpread.cpp
+++ b/lib/edge/NewsSpread.cpp
@@ -3,6 +3,7 @@
 #include "chicorybank/base/Hash.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace chicory::edge {
 
@@ -15,6 +16,10 @@
 constexpr double RankStep = 0.25;
 constexpr size_t RanksApart = 4;
 constexpr double SpreadOfRest = 0.5;
+// All that start for the first time have no place yet. The first of them that
+// asks tells the others, by way of a tree of three steps with a read in each.
+constexpr double SpreadOfUnplaced = 2;
+constexpr size_t Unplaced = std::numeric_limits<size_t>::max();
 // Whatever the place, a change has to be asked for in time to apply it.
 constexpr double MostOfApply = 0.75;
 // Those behind leave a registry that fails to those in front.
@@ -28,10 +33,14 @@
 } // namespace
 
 NewsSpread::NewsSpread(SpreadOptions options) : Options(std::move(options)) {
-  setPatience(0, RanksApart + 1);
+  setPatience(0, Unplaced);
 }
 
 void NewsSpread::learn(const std::map<InstanceId, PeerRecord> &peers) {
+  bool known = peers.contains(Options.Self);
+  if (Placed && !known)
+    return;
+  Placed = known;
   std::map<uint64_t, std::vector<Place>> zones;
   uint64_t own = hashBytes(Options.Zone);
   // Present even while its own record is not yet there.
@@ -57,8 +66,7 @@
       });
       auto rank = static_cast<size_t>(self - places.begin());
       // Whoever the others don't know of yet is not their first.
-      bool known = peers.contains(Options.Self);
-      setPatience(zoneRank, known ? rank : RanksApart + 1);
+      setPatience(zoneRank, known ? rank : Unplaced);
       size_t first = rank * FanOut + 1;
       for (size_t n = first; n < std::min(first + FanOut, places.size()); ++n)
         Children.push_back(places[n].Peer.Peers);
@@ -67,16 +75,21 @@
   }
 }
 
+/// Where this instance stands among others of the same place, from 0 to 1.
+double NewsSpread::share() const {
+  constexpr uint64_t Steps = 1024;
+  return static_cast<double>(mixHash(Options.Seed, Options.Self.Value) %
+                             Steps) /
+         Steps;
+}
+
 void NewsSpread::setPatience(size_t zoneRank, size_t rank) {
   double paces = 1 + ZoneStep * static_cast<double>(zoneRank);
   if (rank != 0) {
     paces =
         OthersFrom + RankStep * static_cast<double>(std::min(rank, RanksApart));
-    if (rank > RanksApart) {
-      constexpr uint64_t Steps = 1024;
-      uint64_t own = mixHash(Options.Seed, Options.Self.Value) % Steps;
-      paces += SpreadOfRest * static_cast<double>(own) / Steps;
-    }
+    if (rank > RanksApart)
+      paces += (rank == Unplaced ? SpreadOfUnplaced : SpreadOfRest) * share();
   }
   Patience = std::min(
       std::chrono::duration_cast<Duration>(Options.Pace * paces),
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(endsWhatOnlyTheDirectoryNamed);
   CPPUNIT_TEST(startsAllTheSameWithABadDirectory);
   CPPUNIT_TEST(adoptsARevisionAtWhichNothingDiffers);
+  CPPUNIT_TEST(needsNoListWhereAPushAgrees);
   CPPUNIT_TEST(neverBelievesAnOldRead);
   CPPUNIT_TEST(agreesWithTheStoreAfterAnyTrouble);
   CPPUNIT_TEST_SUITE_END();
@@ -623,6 +624,44 @@
     });
   }
 
+  // Symptom: an outage of the registry of six seconds costs 295 instances three
+  // calls each, for lists of 300 kB, right when it is back.
+  // Sequence: everybody's watch fails; the registry is back, the first in line
+  // lists and tells.
+  // Cause: a list that was due whatever became known meanwhile.
+  void needsNoListWhereAPushAgrees() {
+    Store store;
+    store.server(1);
+    Reading reading;
+    reading.step(store);
+    reading.Reader.setPatience(1500ms, 1s);
+    Reading first;
+    first.step(store);
+    auto failing = [&] {
+      reading.Now += 1500ms;
+      expectTrue(reading.fail(), "it asks, and gets no answer");
+      reading.Now += 10ms;
+      first.Now = reading.Now;
+    };
+    failing();
+    NewsPush push =
+        first.Reader.push(InstanceId{2}, store.revision(), first.Now);
+    push.Age = 100ms;
+    reading.Reader.takePush(push, false, reading.Now, reading.Events);
+    reading.Now += 300ms;
+    expectEqual<std::string>("", reading.stepOnce(store));
+    section("but where the copies differ, or the push is old, it lists", [&] {
+      failing();
+      push.Age = 2s;
+      reading.Reader.takePush(push, false, reading.Now, reading.Events);
+      push.Age = 100ms;
+      push.Digest ^= 1;
+      reading.Reader.takePush(push, false, reading.Now, reading.Events);
+      reading.Now += 300ms;
+      expectEqual<std::string>("/-/kv-range?prefix=", reading.stepOnce(store));
+    });
+  }
+
   // Whatever old reads a start gets, what it shows as current holds now: the
   // configuration does not go back, and what is current is complete.
   void neverBelievesAnOldRead() {
--- a/tests/NewsSpreadTest.cpp
+++ b/tests/NewsSpreadTest.cpp
@@ -61,6 +61,8 @@
   CPPUNIT_TEST(reachesEverybodyInFewSteps);
   CPPUNIT_TEST(reachesOtherZonesWithoutTheirFirst);
   CPPUNIT_TEST(letsOneAskFirst);
+  CPPUNIT_TEST(isLastUntilItsRecordIsSeen);
+  CPPUNIT_TEST(keepsTheOrderWhileRecordsLapse);
   CPPUNIT_TEST(asksInTimeWhateverTheFleet);
   CPPUNIT_TEST(sendsNoMoreInALargerFleet);
   CPPUNIT_TEST_SUITE_END();
@@ -87,6 +89,48 @@
     expectEqual<size_t>(all.size() - 1, reached.size());
   }
 
+  // Pattern: 295 instances start before any has a record. Grounds: each took
+  // itself for the first and watched at once, 295 calls for one.
+  void isLastUntilItsRecordIsSeen() {
+    Fleet all = fleet(1, 60);
+    Duration last = Duration::zero();
+    for (const auto &[id, it] : all)
+      last = std::max(last, spreadOf(it, all).patience());
+    NewsSpread fresh({.Self = InstanceId{9}, .Zone = "zone-0"});
+    expectTrue(fresh.patience() >= 1500ms, "nobody is known");
+    fresh.learn(all);
+    expectTrue(fresh.patience() >= 1500ms, "others are");
+    std::set<Duration> patiences;
+    for (uint64_t seed = 1; seed <= 100; ++seed)
+      patiences.insert(
+          NewsSpread({.Self = InstanceId{9}, .Zone = "zone-0", .Seed = seed})
+              .patience());
+    expectTrue(*patiences.rbegin() - *patiences.begin() > 700ms,
+               "those without a place don't ask at once");
+    all[InstanceId{9}] = {.Id = InstanceId{9}, .Zone = "zone-0"};
+    fresh.learn(all);
+    expectTrue(fresh.patience() <= last, "it has a place");
+  }
+
+  // Symptom: when the registry is back from an outage all instances ask it
+  // twice a second, or the news of all is stale for seconds.
+  // Sequence: all records lapse with their leases; each instance knows nobody.
+  // Cause: records that are missing taken for instances that are gone.
+  void keepsTheOrderWhileRecordsLapse() {
+    Fleet all = fleet(2, 5);
+    const PeerRecord &self = all.begin()->second;
+    NewsSpread spread = spreadOf(self, all);
+    Duration patience = spread.patience();
+    auto targets = spread.targets(true);
+    spread.learn({});
+    expectTrue(spread.patience() == patience, "its place");
+    expectTrue(spread.targets(true) == targets, "and whom it tells");
+    section("until its own record is back", [&] {
+      spread.learn({{self.Id, self}});
+      expectTrue(spread.targets(true).empty(), "the only one");
+    });
+  }
+
   void letsOneAskFirst() {
     Fleet all = fleet(3, 8);
     std::multiset<Duration> patience;
