Soak: the store's stand-in keeps any bytes, and serves old reads

Its transactions took values for UTF-8, so that the directory of registrations, which is MessagePack, was refused with a broken connection. Reads with serializable are answered from a copy that is up to two seconds old.

--- a/tools/soaklib/store.py
+++ b/tools/soaklib/store.py
@@ -18,6 +18,10 @@
         # None, "down", "busy" or "silent"
         self.trouble = None
         self.delay = 0.004
+        # Seconds by which reads with "serializable" may be behind.
+        self.lag = 2.0
+        self.copy = ({}, 0)
+        self.copied_at = -self.lag
         self.lose = 0.0
         self.random = None
         self.calls = 0
@@ -29,7 +33,7 @@
     def put(self, key, value, lease=0):
         self.revision += 1
         old = self.items.get(key)
-        item = {"key": key, "value": base64.b64encode(value.encode()).decode(), "revision": self.revision, "created": old["created"] if old else self.revision, "lease": lease}
+        item = {"key": key, "value": base64.b64encode(value.encode("latin-1")).decode(), "revision": self.revision, "created": old["created"] if old else self.revision, "lease": lease}
         self.items[key] = item
         self._note(item)
         return time.monotonic()
@@ -74,8 +78,9 @@
         if url.path == "/-/kv-range":
             return 200, self._range(query)
         if url.path == "/-/kv-key":
-            item = self.items.get(query["key"])
-            return (200, {**item, "store_revision": self.revision}) if item else (404, {})
+            items, revision = self._view(query)
+            item = items.get(query["key"])
+            return (200, {**item, "store_revision": revision}) if item else (404, {})
         if url.path == "/-/kv-watch":
             return await self._watch(query)
         if url.path == "/-/kv-lease":
@@ -88,9 +93,19 @@
             return self._transaction(json.loads(body))
         return 404, {}
 
+    def _view(self, query):
+        """Items and revision as a read sees them: as they are, or from a copy that may be old."""
+        if query.get("serializable") != "1":
+            return self.items, self.revision
+        if time.monotonic() - self.copied_at >= self.lag:
+            self.copy = (dict(self.items), self.revision)
+            self.copied_at = time.monotonic()
+        return self.copy
+
     def _range(self, query):
-        keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
-        return {"items": [self.items[k] for k in keys[:500]], "has_more": len(keys) > 500, "store_revision": self.revision}
+        items, revision = self._view(query)
+        keys = sorted(k for k in items if k.startswith(query["prefix"]) and k > query.get("after", ""))
+        return {"items": [items[k] for k in keys[:500]], "has_more": len(keys) > 500, "store_revision": revision}
 
     async def _watch(self, query):
         after = int(query["after"])
@@ -134,7 +149,8 @@
             if it["lease"] and it["lease"] not in self.leases:
                 return 404, {}
         for it in body["puts"]:
-            value = base64.b64decode(it["value"]).decode()
+            # Values are any bytes; this encoding keeps each as it is.
+            value = base64.b64decode(it["value"]).decode("latin-1")
             self.put(it["key"], self.rewrite(it["key"], value), it["lease"])
         for key in body["remove"]:
             self.remove(key)
