The lease of an item is read where it is read alone

The fuzz target of registry pages says that what is read and written again is the same; pages read the lease since starts take it over, and did not write it. Only the reader of an own record needs it.

--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -31,7 +31,7 @@
   int64_t Created = 0;
   /// The key has ended; there is no value.
   bool Deleted = false;
-  /// The lease that the key ends with, as far as the registry told it.
+  /// The lease that the key ends with; known where the item was read alone.
   int64_t Lease = 0;
 
   bool operator==(const Item &) const = default;
