When records are due follows the switch that runs them

With route_record off, nextAt named a write that run never makes, and the control thread would not have slept again. Found on reading the change; only compiled, without a test or a run of its own.

--- a/lib/edge/RecordDuty.cpp
+++ b/lib/edge/RecordDuty.cpp
@@ -48,7 +48,9 @@
   Time out = Record.nextAt();
   if (!current)
     return out;
-  return std::min({out, Recorder.nextAt(patience), Directory.nextAt(patience)});
+  if (Settings.Core.Use.RouteRecord)
+    out = std::min(out, Recorder.nextAt(patience));
+  return std::min(out, Directory.nextAt(patience));
 }
 
 void RecordDuty::announce(RegistryCall call) {
