Zones that the operators drain get no new flows

Ruled out: late news; no source named the order.

Change: a typed order in the news (ZoneDrain), carried like rules: read with the configuration in one call before packets are carried, kept in the copy, pushed, pulled, told to instances that start without the registry. A list that may be old neither brings back an order that ended before the orders were read, nor loses a new one. In the decisions: no first choice, later copy, moved opening, last resort or fall-back in a drained zone; open flows stay; all zones drained: reset at once, reason zone_drained. An opening under the key of a flow that began longer ago than an opening can last is a new flow.

--- a/include/chicorybank/base/Reasons.h
+++ b/include/chicorybank/base/Reasons.h
@@ -59,7 +59,8 @@
   X(BackendSilent, "backend_silent")                                           \
   X(BackendUnreachable, "backend_unreachable")                                 \
   X(RouteRemoved, "route_removed")                                             \
-  X(NotCurrent, "not_current")
+  X(NotCurrent, "not_current")                                                 \
+  X(ZoneDrained, "zone_drained")
 
 /// Why something was refused, retried or noted.
 enum class Reason : uint8_t {
--- a/include/chicorybank/edge/Mirror.h
+++ b/include/chicorybank/edge/Mirror.h
@@ -36,6 +36,10 @@
   /// what it tells; `replaceAll` has to follow with the whole list.
   std::vector<Change> preview(const ItemPage &page, Findings &findings);
 
+  /// Takes everything that the operators have written, before the first list.
+  /// That list may be older: an order that it has and these lack has ended.
+  std::vector<Change> takeOrders(const ItemPage &page, Findings &findings);
+
   /// The changes behind a revision; nothing if the history has a gap there.
   std::optional<ItemPage> since(int64_t revision) const;
   /// All items.
@@ -80,12 +84,15 @@
   bool alreadyRefused(const Item &item) const;
   void noteRefused(const Item &item);
   bool endedAfter(const Item &item) const;
+  bool mayHaveEnded(const Item &item, const ItemPage &page) const;
 
   const RegistryDialect &Dialect;
   int64_t Revision = 0;
   /// Changes up to this revision are no longer in `History`.
   int64_t HistoryFrom = 0;
   std::map<std::string, Entry> Items;
+  /// All orders of the operators that stood at this revision are known.
+  int64_t OrdersAsOf = 0;
   /// The key that holds the routes; empty while none does.
   std::string RoutesKey;
   std::deque<Past> History;
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -99,10 +99,18 @@
   bool operator==(const DirectoryNote &) const = default;
 };
 
+/// The operators drain a zone for as long as its item stands.
+struct ZoneDrain {
+  std::string Zone;
+  bool Active = true;
+
+  bool operator==(const ZoneDrain &) const = default;
+};
+
 /// What one item says; `monostate` for items that don't concern an instance.
 using News = std::variant<std::monostate, token::RouteSet, token::Registration,
                           RegistrationEnded, RegistrationUnreadable, PeerRecord,
-                          RouteRecord, DirectoryNote>;
+                          RouteRecord, DirectoryNote, ZoneDrain>;
 
 /// What a call is for. Each costs the registry something of its own, so they
 /// are counted apart.
@@ -113,7 +121,7 @@
   Renewal,     ///< Renews a lease.
   Announce,    ///< Writes this instance's record.
   RouteRecord, ///< Writes the record of routes.
-  Routes,      ///< Reads the configuration alone.
+  Orders,      ///< Reads what the operators have written, and nothing else.
   Directory,   ///< Reads the directory of registrations.
   PastRoutes,  ///< Reads the record of routes alone.
   OwnRecord,   ///< Reads this instance's record.
@@ -148,8 +156,9 @@
   /// Reads every item behind the key `after`; empty starts at the first.
   virtual RegistryCall list(const std::string &after,
                             Freshness freshness) const = 0;
-  /// Reads the configuration alone, as it is now.
-  virtual RegistryCall readRoutes() const = 0;
+  /// Reads what the operators have written, the configuration and the zones
+  /// that they drain, as it is now: a page of it, behind the key `after`.
+  virtual RegistryCall readOrders(const std::string &after) const = 0;
   /// Reads the directory; it may be old.
   virtual RegistryCall readDirectory() const = 0;
   /// Reads the record of routes alone; it may be old.
--- a/include/chicorybank/edge/StartSequence.h
+++ b/include/chicorybank/edge/StartSequence.h
@@ -8,8 +8,9 @@
 //
 // 1. The directory (`Directory.h`). Where there is none, as when a deployment
 //    starts for the first time, the list follows at once.
-// 2. The configuration by its own key, as it is now: an old one must not come
-//    into force. From here on packets are carried.
+// 2. What the operators have written, as it is now: the configuration, since an
+//    old one must not come into force, and the zones that they drain. From here
+//    on packets are carried.
 // 3. The record of routes: packets of flows whose route has moved.
 //
 // The list of everything follows, later by a share of `ListSpread` for each
@@ -54,9 +55,9 @@
   Duration listSpread() const;
 
 private:
-  enum class Step : uint8_t { Directory, Routes, PastRoutes, Done };
+  enum class Step : uint8_t { Directory, Orders, PastRoutes, Done };
 
-  tl::expected<void, std::string> takeRoutes(const std::string &body,
+  tl::expected<void, std::string> takeOrders(const std::string &body,
                                              Mirror &copy, Findings &findings,
                                              std::vector<Change> &out);
   tl::expected<void, std::string> takeDirectory(const std::string &body,
@@ -64,6 +65,8 @@
 
   const RegistryDialect &Dialect;
   Step State = Step::Directory;
+  /// The orders that have been read, where they take several pages.
+  ItemPage Orders;
   std::set<token::BackendId> Named;
 };
 
--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -7,6 +7,7 @@
 #include "chicorybank/token/Reach.h"
 #include "chicorybank/token/Types.h"
 
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -62,15 +63,20 @@
   Time SuspectUntil;
   /// How often in a row it has become suspect.
   uint32_t Suspicions = 0;
+  /// The operators drain its zone.
+  bool ZoneDrained = false;
   Reach Probes;
 
-  bool takesNew() const { return State == Standing::Ready; }
+  bool takesNew() const { return State == Standing::Ready && !ZoneDrained; }
   bool suspect(Time now) const { return now < SuspectUntil; }
   /// What this instance has the server work on. An opening is a request to
   /// come; a server that answers none must not look idle.
   uint32_t load() const { return InProgress + Opening; }
 };
 
+/// Availability zones whose servers get no new flows, and since when.
+using DrainedZones = std::map<std::string, Time>;
+
 /// Times of the list of backend servers.
 struct BackendTimes {
   /// A server that is gone is remembered this long: the longest life of a flow.
@@ -106,6 +112,11 @@
   /// what the server said before goes on deciding. It says nothing of whether
   /// the server lives, so it is not the end of its flows either.
   bool unreadable(BackendId id);
+  /// The operators drain a zone, or have ended that. Its servers keep their
+  /// flows and take no new ones, whatever they register meanwhile. Returns
+  /// true where it was not known.
+  bool drainZone(const std::string &zone, bool active, Time now);
+  const DrainedZones &drainedZones() const { return Drained; }
   /// Servers that have started again since the last call.
   std::vector<BackendIndex> takeReborn() { return std::exchange(Reborn, {}); }
   /// Forgets servers that have been gone for long. With `trusted`, a missing
@@ -145,6 +156,7 @@
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByService;
   /// Who registered an address last.
   std::unordered_map<uint64_t, BackendIndex> ByAddress;
+  DrainedZones Drained;
   std::vector<BackendIndex> Ended;
   std::vector<BackendIndex> Reborn;
 };
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -124,6 +124,7 @@
   void on(const RoutesLearned &event, Time now, Actions &actions);
   void on(const PastRoutesLearned &event, Time now, Actions &actions);
   void on(const BackendsLearned &event, Time now, Actions &actions);
+  void on(const ZoneDrainLearned &event, Time now, Actions &actions);
   void on(const BackendsComplete &event, Time now, Actions &actions);
   void on(const NewsChecked &event, Time now, Actions &actions);
   void on(const BoundsChanged &event, Time now, Actions &actions);
@@ -144,6 +145,8 @@
 
   BackendIndex choose(const Route &route, uint64_t flowHash, BackendIndex avoid,
                       Time now);
+  /// Why a route has no server for a new flow.
+  Reason whyNone(const Route &route) const;
   BackendIndex chooseOf(ServiceId service, BackendIndex avoid, Time now);
   double score(const Backend &backend, Time now);
 
@@ -188,6 +191,8 @@
   /// The request in progress has ended, one way or another.
   void endRequest(FlowState &flow);
   void forget(const FlowKey &key);
+  /// An opening packet is not the flow's that is remembered under its key.
+  void forgetFormer(const FlowKey &key, Time now);
   void sweep(Time now);
 
   void send(BackendIndex i, Bytes raw, Actions &actions);
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -43,6 +43,13 @@
   int64_t ReadAt = 0;
 };
 
+/// The operators drain an availability zone: its backend servers keep their
+/// flows and get no new ones. Or they have ended that.
+struct ZoneDrainLearned {
+  std::string Zone;
+  bool Active = true;
+};
+
 /// All backend servers were told at least once: the instance may serve.
 struct BackendsComplete {};
 
@@ -80,9 +87,10 @@
 /// Time passes; send one every few milliseconds while flows are opening.
 struct Tick {};
 
-using Event = std::variant<PacketSeen, RoutesLearned, PastRoutesLearned,
-                           BackendsLearned, BackendsComplete, NewsChecked,
-                           BoundsChanged, ProbeEnded, BackendDoubted, Tick>;
+using Event =
+    std::variant<PacketSeen, RoutesLearned, PastRoutesLearned, BackendsLearned,
+                 ZoneDrainLearned, BackendsComplete, NewsChecked, BoundsChanged,
+                 ProbeEnded, BackendDoubted, Tick>;
 
 /// Send the packet to a backend server, with this token in it.
 struct Forward {
@@ -122,6 +130,8 @@
   Time At;
   FlowKey Flow;
   BackendId Backend;
+  /// The availability zone that it is about; empty for none.
+  std::string Zone;
   RuleVersion Rules;
   /// How old the input was that decided it.
   Duration Age = Duration::zero();
--- a/lib/edge/ControlDuty.cpp
+++ b/lib/edge/ControlDuty.cpp
@@ -19,6 +19,13 @@
 // suspensions, shows that the process stood still.
 constexpr Duration StoodStill = std::chrono::milliseconds(400);
 
+std::string namesOf(const token::DrainedZones &zones) {
+  std::string out;
+  for (const auto &[zone, since] : zones)
+    out += (out.empty() ? "" : ",") + zone;
+  return out;
+}
+
 } // namespace
 
 ControlDuty::ControlDuty(EdgeSettings &settings, SettingsFile file,
@@ -99,6 +106,7 @@
           .with("news_age_ms",
                 static_cast<int64_t>(stats.NewsAgeSeconds * MsPerSecond))
           .with("servers", static_cast<int64_t>(stats.Servers))
+          .with("drained_zones", namesOf(stats.Drained))
           .with("flows", static_cast<int64_t>(stats.Flows))
           .with("packets", static_cast<int64_t>(stats.Core.Packets))
           .with("opened", static_cast<int64_t>(stats.Core.Opened))
--- a/lib/edge/Log.cpp
+++ b/lib/edge/Log.cpp
@@ -46,6 +46,8 @@
                   static_cast<unsigned long long>(decision.Backend.Value));
     out.with("server", hex);
   }
+  if (!decision.Zone.empty())
+    out.with("zone", decision.Zone);
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   out.with("rules", static_cast<int64_t>(decision.Rules.Value));
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -151,6 +151,11 @@
   single(out, "chicory_routes", "gauge", "Routes in force", edge.Routes);
   single(out, "chicory_rule_version", "gauge", "Version in force",
          edge.RuleVersion);
+  head(out, "chicory_zone_drained_seconds", "gauge",
+       "Since a zone's servers get no new flows from here");
+  for (const auto &[zone, since] : edge.Drained)
+    out << "chicory_zone_drained_seconds{zone=\"" << zone << "\"} "
+        << std::chrono::duration<double>(steadyNow() - since).count() << '\n';
   single(out, "chicory_news_age_seconds", "gauge",
          "Since the news was last shown to be current", edge.NewsAgeSeconds);
   return out.str();
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -50,6 +50,9 @@
   uint64_t operator()(const DirectoryNote &news) const {
     return mixHash(3, news.Digest);
   }
+  uint64_t operator()(const ZoneDrain &news) const {
+    return mixHash(4, hashBytes(news.Zone));
+  }
 };
 
 uint64_t digestOf(const Item &item, const News &news) {
@@ -94,6 +97,14 @@
   });
 }
 
+/// The copy has been whole at a later revision than the page's, and lacks the
+/// item. Where the history does not reach back to the page, nothing tells
+/// whether the item has ended since: what a list that may be old brings back
+/// would be a drain of a zone that is over, or a server that has gone.
+bool Mirror::mayHaveEnded(const Item &item, const ItemPage &page) const {
+  return page.Revision < HistoryFrom || endedAfter(item);
+}
+
 size_t Mirror::historyLimit() const {
   return std::max(HistoryItems, Items.size());
 }
@@ -104,12 +115,15 @@
   if (it != Items.end() && item.Revision <= it->second.What.Revision)
     return;
   if (it == Items.end() && item.Revision <= Revision &&
-      (item.Deleted || endedAfter(item)))
+      (item.Deleted || mayHaveEnded(item, page)))
     return;
   if (alreadyRefused(item))
     return;
   size_t faults = findings.items().size();
   News news = Dialect.translate(item, findings);
+  if (it == Items.end() && item.Revision <= OrdersAsOf &&
+      std::holds_alternative<ZoneDrain>(news))
+    return;
   if (item.Deleted) {
     if (it != Items.end()) {
       exclude(it->second);
@@ -166,6 +180,13 @@
   return out;
 }
 
+std::vector<Change> Mirror::takeOrders(const ItemPage &page,
+                                       Findings &findings) {
+  std::vector<Change> out = preview(page, findings);
+  OrdersAsOf = page.Revision;
+  return out;
+}
+
 std::vector<Change> Mirror::replaceAll(const ItemPage &page,
                                        Findings &findings) {
   std::vector<Change> out;
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -112,7 +112,7 @@
   Time now = steadyNow();
   std::vector<token::Event> news;
   bool learned = Reader.answered(newsAnswer(result), now, news);
-  tell(std::move(news), now);
+  tell(std::move(news), InstanceId{}, now);
   if (!result)
     Lines.write(LogLine("registry_call_failed")
                     .with("why", httpFailureName(result.error())));
@@ -126,8 +126,10 @@
   sendPush(true, now);
 }
 
-void NewsDuty::tell(std::vector<token::Event> news, Time now) {
+void NewsDuty::tell(std::vector<token::Event> news, InstanceId from, Time now) {
   for (token::Event &it : news) {
+    if (const auto *drain = std::get_if<token::ZoneDrainLearned>(&it))
+      noteDrain(*drain, from);
     if (auto *servers = std::get_if<token::BackendsLearned>(&it))
       servers->ReadAt = unixMillisecondsNow();
     RoutesChanged = RoutesChanged ||
@@ -147,6 +149,18 @@
   Records.learnDirectory(Reader.directoryNote(), now);
 }
 
+/// From whom an order came shows whether the registry was asked or a neighbour
+/// passed it on; when it is in force follows as `zone_drained`.
+void NewsDuty::noteDrain(const token::ZoneDrainLearned &drain,
+                         InstanceId from) {
+  Lines.write(
+      LogLine("zone_drain_learned")
+          .with("zone", drain.Zone)
+          .with("active", drain.Active ? 1 : 0)
+          .with("revision", Reader.mirror().revision())
+          .with("from", from.Value == 0 ? "registry" : formatIp(from.Value)));
+}
+
 void NewsDuty::takePeers(Time now) {
   Others.learn(Reader.peers(), now);
   Spread.learn(Others.known());
@@ -222,7 +236,7 @@
   Time before = Reader.currentAt();
   std::vector<token::Event> news;
   bool behind = Reader.takePush(push, now < LateUntil, now, news);
-  tell(std::move(news), now);
+  tell(std::move(news), push.Sender, now);
   if (behind)
     return pull(push.Sender, false);
   // Half a pace newer than what was passed on last: worth a datagram to each.
@@ -314,7 +328,7 @@
   std::vector<token::Event> news;
   Reader.takeSeed(*page, news);
   Lines.write(line.with("revision", page->Revision));
-  tell(std::move(news), steadyNow());
+  tell(std::move(news), PeerId, steadyNow());
 }
 
 void NewsDuty::takePulled(const HttpClient::Result &result, InstanceId from,
@@ -337,7 +351,7 @@
   Time now = steadyNow();
   std::vector<token::Event> news;
   Reader.takePull(*page, whole, news);
-  tell(std::move(news), now);
+  tell(std::move(news), from, now);
   sendPush(false, now);
 }
 
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -76,7 +76,10 @@
                   bool whole);
   void sendPush(bool asked, Time now);
   void send(const std::string &bytes, Address target);
-  void tell(std::vector<token::Event> news, Time now);
+  /// Passes news on to the packet thread. `from`: the instance that told it;
+  /// none for the registry.
+  void tell(std::vector<token::Event> news, InstanceId from, Time now);
+  void noteDrain(const token::ZoneDrainLearned &drain, InstanceId from);
   void passNews();
   void noteRegistry(Time now);
 
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -327,6 +327,9 @@
       Recorded[record->Part] = std::move(*record);
     } else if (auto *note = std::get_if<DirectoryNote>(&it.Meaning)) {
       StoredDirectory = *note;
+    } else if (auto *drain = std::get_if<ZoneDrain>(&it.Meaning)) {
+      out.emplace_back(token::ZoneDrainLearned{.Zone = std::move(drain->Zone),
+                                               .Active = drain->Active});
     } else if (auto *peer = std::get_if<PeerRecord>(&it.Meaning)) {
       if (peer->Gone)
         Peers.erase(peer->Id);
--- a/lib/edge/PacketDuty.cpp
+++ b/lib/edge/PacketDuty.cpp
@@ -183,6 +183,7 @@
   Stats.Servers = Core.backends().size();
   Stats.Routes = Core.routes().size();
   Stats.RuleVersion = Core.routes().version().Value;
+  Stats.Drained = Core.backends().drainedZones();
   Stats.NewsAgeSeconds =
       std::chrono::duration<double>(now - Core.newsCurrentAt()).count();
   Common.publish(Stats);
--- a/lib/edge/RegistryClient.cpp
+++ b/lib/edge/RegistryClient.cpp
@@ -16,8 +16,8 @@
     return "announce";
   case CallKind::RouteRecord:
     return "route_record";
-  case CallKind::Routes:
-    return "routes";
+  case CallKind::Orders:
+    return "orders";
   case CallKind::Directory:
     return "directory";
   case CallKind::PastRoutes:
--- a/lib/edge/Shared.h
+++ b/lib/edge/Shared.h
@@ -30,6 +30,7 @@
   uint64_t Servers = 0;
   uint64_t Routes = 0;
   uint64_t RuleVersion = 0;
+  token::DrainedZones Drained;
   double NewsAgeSeconds = 0;
 };
 
--- a/lib/edge/StartSequence.cpp
+++ b/lib/edge/StartSequence.cpp
@@ -8,8 +8,9 @@
 
 RegistryCall StartSequence::call() const {
   switch (State) {
-  case Step::Routes:
-    return Dialect.readRoutes();
+  case Step::Orders:
+    return Dialect.readOrders(Orders.Items.empty() ? std::string()
+                                                   : Orders.Items.back().Key);
   case Step::Directory:
     return Dialect.readDirectory();
   case Step::PastRoutes:
@@ -26,12 +27,11 @@
   switch (State) {
   case Step::Directory: {
     auto taken = takeDirectory(body, out);
-    State = Named.empty() ? Step::Done : Step::Routes;
+    State = Named.empty() ? Step::Done : Step::Orders;
     return taken;
   }
-  case Step::Routes:
-    State = Step::PastRoutes;
-    return takeRoutes(body, copy, findings, out);
+  case Step::Orders:
+    return takeOrders(body, copy, findings, out);
   case Step::PastRoutes:
   case Step::Done:
     break;
@@ -45,14 +45,23 @@
 }
 
 tl::expected<void, std::string>
-StartSequence::takeRoutes(const std::string &body, Mirror &copy,
+StartSequence::takeOrders(const std::string &body, Mirror &copy,
                           Findings &findings, std::vector<Change> &out) {
+  State = Step::PastRoutes;
   if (body.empty())
     return {};
-  auto item = Dialect.readItem(body);
-  if (!item)
-    return tl::make_unexpected(item.error());
-  out = copy.preview({.Items = {std::move(*item)}}, findings);
+  auto page = Dialect.readPage(body);
+  if (!page)
+    return tl::make_unexpected(page.error());
+  if (Orders.Items.empty())
+    Orders.Revision = page->Revision;
+  Orders.Items.insert(Orders.Items.end(), page->Items.begin(),
+                      page->Items.end());
+  if (page->More && !page->Items.empty()) {
+    State = Step::Orders;
+    return {};
+  }
+  out = copy.takeOrders(Orders, findings);
   return {};
 }
 
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -43,6 +43,7 @@
     return false;
   Standing before = backend.State;
   backend.Info = info;
+  backend.ZoneDrained = Drained.contains(info.Zone);
   if (info.Born == 0)
     backend.Info.Born = known;
   else if (known != 0 && info.Born > known)
@@ -94,6 +95,17 @@
   return true;
 }
 
+bool Backends::drainZone(const std::string &zone, bool active, Time now) {
+  bool changed =
+      active ? Drained.try_emplace(zone, now).second : Drained.erase(zone) != 0;
+  if (!changed)
+    return false;
+  for (Backend &it : Slots)
+    if (it.Info.Zone == zone)
+      it.ZoneDrained = active;
+  return true;
+}
+
 void Backends::beginLife(BackendIndex i) {
   Backend &backend = Slots[i];
   backend.Unanswered = 0;
--- a/lib/token/Choice.cpp
+++ b/lib/token/Choice.cpp
@@ -50,7 +50,8 @@
   for (BackendIndex i : Servers.ofService(service)) {
     const Backend &backend = Servers.at(i);
     bool missing = Options.Use.MissingAsLastResort &&
-                   backend.State == Standing::Missing && !backend.Info.Draining;
+                   backend.State == Standing::Missing &&
+                   !backend.Info.Draining && !backend.ZoneDrained;
     if (!backend.takesNew() && !missing)
       continue;
     double cost = score(backend, now);
@@ -91,6 +92,14 @@
   return NoBackend;
 }
 
+Reason Core::whyNone(const Route &route) const {
+  for (const WeightedService &it : route.Services)
+    for (BackendIndex i : Servers.ofService(it.Service))
+      if (Servers.at(i).State == Standing::Ready && Servers.at(i).ZoneDrained)
+        return Reason::ZoneDrained;
+  return Reason::NoTarget;
+}
+
 void Core::progress(BackendIndex i, Time now) {
   Backend &backend = Servers.at(i);
   backend.Unanswered = 0;
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -53,6 +53,7 @@
     return reset(head, why, NoBackend, now, actions);
   }
   BackendIndex avoid = NoBackend;
+  forgetFormer(head.key(), now);
   if (FlowState *flow = flowOf(head.key())) {
     const Backend &backend = Servers.at(flow->Backend);
     bool silent = backend.suspect(now) || !backend.takesNew();
@@ -68,7 +69,7 @@
   if (i == NoBackend && !SawBackends)
     return drop(head, Reason::NotCurrent, now, actions);
   if (i == NoBackend)
-    return reset(head, Reason::NoTarget, NoBackend, now, actions);
+    return reset(head, whyNone(*route), NoBackend, now, actions);
   ++Stats.Opened;
   openAt(event, i, now, actions);
   if (avoid != NoBackend && avoid != i)
@@ -221,6 +222,13 @@
   endServers(false, now, actions);
 }
 
+void Core::on(const ZoneDrainLearned &event, Time now, Actions &actions) {
+  if (Servers.drainZone(event.Zone, event.Active, now))
+    decided({.What = event.Active ? "zone_drained" : "zone_restored",
+             .Zone = event.Zone},
+            now, actions);
+}
+
 void Core::decided(Decision decision, Time now, Actions &actions) const {
   decision.At = now;
   decision.Rules = Routes.version();
--- a/lib/token/Following.cpp
+++ b/lib/token/Following.cpp
@@ -132,6 +132,15 @@
   Flows.erase(it);
 }
 
+/// A caller opens a flow from a port that it used for an earlier one, whose end
+/// went through another instance. Opened where the earlier one was, the new
+/// flow could go to a server that takes nothing new for long.
+void Core::forgetFormer(const FlowKey &key, Time now) {
+  const FlowState *flow = flowOf(key);
+  if (flow && now - flow->FirstSeen > OpeningLife)
+    forget(key);
+}
+
 void Core::sweep(Time now) {
   for (auto it = Flows.begin(); it != Flows.end();) {
     FlowState &flow = it->second;
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(reportsFaultsWithTheirPlace);
   CPPUNIT_TEST(readsWhenAServerStarted);
   CPPUNIT_TEST(namesNoServerWhereAnEntryCannotBeRead);
+  CPPUNIT_TEST(readsZonesThatAreDrained);
   CPPUNIT_TEST(readsWhatItRecordedOfRoutes);
   CPPUNIT_TEST(readsListsAndChanges);
   CPPUNIT_TEST(passesOnWhatItRead);
@@ -201,6 +202,37 @@
     });
   }
 
+  void readsZonesThatAreDrained() {
+    auto drainOf = [](const Item &item, Findings &findings) {
+      News news = Dialect.translate(item, findings);
+      const auto *out = std::get_if<ZoneDrain>(&news);
+      return out ? *out : ZoneDrain{.Zone = "none"};
+    };
+    Findings none;
+    expectTrue(drainOf({.Key = "op/evacuate/hall-a", .Value = "{}"}, none) ==
+                   ZoneDrain{.Zone = "hall-a", .Active = true},
+               "the order");
+    expectTrue(drainOf({.Key = "op/evacuate/hall-a", .Deleted = true}, none) ==
+                   ZoneDrain{.Zone = "hall-a", .Active = false},
+               "its end");
+    expectTrue(none.empty(), none.text());
+    section("a value that can't be read is told, and the order holds", [&] {
+      Findings findings;
+      expectTrue(
+          drainOf({.Key = "op/evacuate/hall-a", .Value = "["}, findings).Active,
+          "drained");
+      expectTrue(findings.text().starts_with("op/evacuate/hall-a: "),
+                 "its place");
+    });
+    section("an order without a zone names none", [&] {
+      Findings findings;
+      expectEqual<std::string>(
+          "none",
+          drainOf({.Key = "op/evacuate/", .Value = "{}"}, findings).Zone);
+      expectTrue(!findings.empty(), "it is told");
+    });
+  }
+
   void readsWhatItRecordedOfRoutes() {
     const Address feed{.Ip = 0xc6120001, .Port = 443};
     RouteRecord record{.Part = 3,
