A draining server that refuses connections keeps its last flows

Ruled out: the registration's end (backend_missing 23.4 s), a crash (the server serves on).

Change: a probe tells refusals from silence; a refusal by a server that is known to drain proves nothing.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -159,6 +159,7 @@
   void probe(BackendIndex i, Time now, Actions &actions);
   void sendProbe(BackendIndex i, Time now, Actions &actions);
   BackendIndex lastToAnswer(BackendIndex i) const;
+  static bool finishing(const Backend &backend);
   void probeFailed(BackendIndex i, Time now, Actions &actions);
   void probeOnceMore(BackendIndex i, Time now, Actions &actions);
   void showedLife(Reach &reach, Time now);
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -68,7 +68,8 @@
 /// How a probe ended.
 enum class ProbeOutcome : uint8_t {
   Reached,
-  Failed,   ///< Refused, or no answer in time.
+  Failed,   ///< No answer in time.
+  Refused,  ///< Its machine answers that nobody listens.
   NotTried, ///< There was no room for it; it shows nothing.
 };
 
--- a/lib/edge/ReachProbes.cpp
+++ b/lib/edge/ReachProbes.cpp
@@ -1,5 +1,6 @@
 #include "ReachProbes.h"
 
+#include <cerrno>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -15,7 +16,10 @@
   int error = 0;
   socklen_t size = sizeof(error);
   int rc = ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
-  return rc == 0 && error == 0 ? ProbeOutcome::Reached : ProbeOutcome::Failed;
+  if (rc == 0 && error == 0)
+    return ProbeOutcome::Reached;
+  return rc == 0 && error == ECONNREFUSED ? ProbeOutcome::Refused
+                                          : ProbeOutcome::Failed;
 }
 
 bool answered(int fd) {
--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -101,12 +101,22 @@
     return;
   ++Stats.ProbesFailed;
   reach.FailedAt = now;
+  if (event.Outcome == ProbeOutcome::Refused && finishing(backend))
+    return;
   // Its answers go to callers directly, so they may show life all the same.
   if (backend.LastProgress >= reach.RowBeganAt)
     return showedLife(reach, now);
   probeFailed(i, now, actions);
 }
 
+/// A server that leaves stops to listen before it has answered its last
+/// requests. What goes wrong without: their flows are reset although the
+/// answers are on their way, in a planned stop. That it has ended shows when
+/// its registration does.
+bool Core::finishing(const Backend &backend) {
+  return backend.State == Standing::Draining;
+}
+
 void Core::showedLife(Reach &reach, Time now) {
   if (std::exchange(reach.Failures, 0) != 0)
     FalseAlarmAt = now;
--- a/tests/ReachProbesTest.cpp
+++ b/tests/ReachProbesTest.cpp
@@ -36,7 +36,7 @@
 class ReachProbesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReachProbesTest);
   CPPUNIT_TEST(reachesAListener);
-  CPPUNIT_TEST(failsWhereNobodyListens);
+  CPPUNIT_TEST(isRefusedWhereNobodyListens);
   CPPUNIT_TEST(failsWithoutAnAnswerInTime);
   CPPUNIT_TEST(countsAnAnswerThatCameBeforeItsLimit);
   CPPUNIT_TEST(triesNoMoreThanItHasDescriptorsFor);
@@ -55,13 +55,13 @@
     expectTrue(probes.nextAt() == Time::max(), "nothing is left");
   }
 
-  void failsWhereNobodyListens() {
+  void isRefusedWhereNobodyListens() {
     Address nobody = boundAddress(*listenTcp(someAddress()));
     Loop loop;
     ReachProbes probes(loop, Loopback);
     probes.start({.Id = BackendId{4}, .Where = nobody, .Timeout = 1s},
                  steadyNow());
-    expectTrue(endOf(loop, probes).Outcome == ProbeOutcome::Failed, "failed");
+    expectTrue(endOf(loop, probes).Outcome == ProbeOutcome::Refused, "refused");
   }
 
   void failsWithoutAnAnswerInTime() {
--- a/tests/ReachTest.cpp
+++ b/tests/ReachTest.cpp
@@ -81,9 +81,39 @@
   CPPUNIT_TEST(probesSeldom);
   CPPUNIT_TEST(concludesOfSeveralServersAtATime);
   CPPUNIT_TEST(comparesWithAnotherWhereTheFirstIsDeadAsWell);
+  CPPUNIT_TEST(waitsForTheLastAnswersOfAServerThatLeaves);
   CPPUNIT_TEST(resetsNothingWithoutThreeFailedProbes);
   CPPUNIT_TEST_SUITE_END();
 
+  // Symptom: in a planned replacement of servers an open flow is reset while
+  // its server still works on its request. Sequence: a server drains for five
+  // seconds and stops to listen; a request that it still works on takes longer
+  // than usual; probes are refused, three of them within ten milliseconds.
+  // Cause: a refusal counted like silence, and both as the end of the server.
+  void waitsForTheLastAnswersOfAServerThatLeaves() {
+    auto resetsAfter = [](bool draining, ProbeOutcome outcome) {
+      Doubtful instance;
+      Registration leaving = server(1);
+      leaving.Draining = draining;
+      instance.handle(BackendsLearned{.Present = {leaving}});
+      instance.otherAnswers();
+      size_t resets = only<ResetFlow>(instance.probeEnds(outcome)).size();
+      for (int n = 0; n < 2; ++n) {
+        instance.Now += 2ms;
+        instance.probeEnds(ProbeOutcome::Reached, 2);
+        resets += only<ResetFlow>(instance.probeEnds(outcome)).size();
+      }
+      return resets;
+    };
+    expectEqual<size_t>(0, resetsAfter(true, ProbeOutcome::Refused));
+    section("one that was not about to leave has crashed", [&] {
+      expectEqual<size_t>(1, resetsAfter(false, ProbeOutcome::Refused));
+    });
+    section("silence is no part of a planned stop", [&] {
+      expectEqual<size_t>(1, resetsAfter(true, ProbeOutcome::Failed));
+    });
+  }
+
   // Symptom: callers with an open flow wait until their deadline, and each
   // user's next request as well, for seconds.
   // Sequence: a server loses power; its registration stays until it lapses;
