Servers that warm up get no more new flows than they bear, over all instances

Cause: warmup_left_ms was dropped, warmup_s and warmup_per_s not read.

Kept: the opener, which does not depend on the number of instances; it is one of the server's own zone, so a cut of zones leaves one on each side that can reach it. A zone that comes back counts as cold before its servers say so. All cold: reset at once, reason warming_up.

The entry's countdown is no news while it counts down (MirrorTest); the test of the dialect checked that it was not decoded and now checks that it is.

--- a/include/chicorybank/base/Reasons.h
+++ b/include/chicorybank/base/Reasons.h
@@ -60,7 +60,8 @@
   X(BackendUnreachable, "backend_unreachable")                                 \
   X(RouteRemoved, "route_removed")                                             \
   X(NotCurrent, "not_current")                                                 \
-  X(ZoneDrained, "zone_drained")
+  X(ZoneDrained, "zone_drained")                                               \
+  X(WarmingUp, "warming_up")
 
 /// Why something was refused, retried or noted.
 enum class Reason : uint8_t {
--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -32,6 +32,8 @@
   /// zero where it does not say. A server may start again under its id, and
   /// knows nothing of its former life's flows.
   int64_t Born = 0;
+  /// How much longer it is slow after its start, when it wrote this.
+  Duration WarmUpLeft = Duration::zero();
 
   bool operator==(const Registration &) const = default;
 };
@@ -65,6 +67,9 @@
   uint32_t Suspicions = 0;
   /// The operators drain its zone.
   bool ZoneDrained = false;
+  /// Until when it warms up, and when it may next get a flow meanwhile.
+  Time WarmUntil;
+  Time NextWarmOpening;
   Reach Probes;
 
   bool takesNew() const { return State == Standing::Ready && !ZoneDrained; }
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -28,6 +28,7 @@
 /// of their own; the others name it.
 struct CoreOptions {
   std::string Zone;
+  InstanceId Self;
   uint64_t Seed = 1;
   /// A flow that is older may be discarded.
   Duration MaxFlowAge = std::chrono::seconds(60);
@@ -125,6 +126,7 @@
   void on(const PastRoutesLearned &event, Time now, Actions &actions);
   void on(const BackendsLearned &event, Time now, Actions &actions);
   void on(const ZoneDrainLearned &event, Time now, Actions &actions);
+  void on(const InstancesLearned &event, Time now, Actions &actions);
   void on(const BackendsComplete &event, Time now, Actions &actions);
   void on(const NewsChecked &event, Time now, Actions &actions);
   void on(const BoundsChanged &event, Time now, Actions &actions);
@@ -222,6 +224,7 @@
   CoreOptions Options;
   RouteTable Routes;
   Backends Servers;
+  WarmUpLimits WarmUps;
   FlowMemory Flows;
   std::deque<Opening> Openings;
   std::deque<Request> Requests;
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -7,6 +7,7 @@
 #include "chicorybank/token/Backends.h"
 #include "chicorybank/token/Routes.h"
 #include "chicorybank/token/Types.h"
+#include "chicorybank/token/WarmUp.h"
 
 #include <string>
 #include <variant>
@@ -50,6 +51,11 @@
   bool Active = true;
 };
 
+/// The registered instances are these.
+struct InstancesLearned {
+  std::vector<WarmUpPeer> Instances;
+};
+
 /// All backend servers were told at least once: the instance may serve.
 struct BackendsComplete {};
 
@@ -90,8 +96,8 @@
 
 using Event =
     std::variant<PacketSeen, RoutesLearned, PastRoutesLearned, BackendsLearned,
-                 ZoneDrainLearned, BackendsComplete, NewsChecked, BoundsChanged,
-                 ProbeEnded, BackendDoubted, Tick>;
+                 ZoneDrainLearned, InstancesLearned, BackendsComplete,
+                 NewsChecked, BoundsChanged, ProbeEnded, BackendDoubted, Tick>;
 
 /// Send the packet to a backend server, with this token in it.
 struct Forward {
--- a/include/chicorybank/token/Routes.h
+++ b/include/chicorybank/token/Routes.h
@@ -38,10 +38,22 @@
   auto operator<=>(const RoutePair &) const = default;
 };
 
+/// How the servers of a service begin.
+struct ServiceWarmUp {
+  ServiceId Service;
+  /// From a server's start.
+  Duration Lasts = Duration::zero();
+  /// New flows that one server bears meanwhile; zero where no limit is known.
+  double FlowsPerSecond = 0;
+
+  bool operator==(const ServiceWarmUp &) const = default;
+};
+
 /// One accepted version of the configuration.
 struct RouteSet {
   RuleVersion Version;
   std::vector<Route> Routes;
+  std::vector<ServiceWarmUp> WarmUps;
   /// A flow that is idle for longer may be forgotten.
   Duration IdleTimeout = std::chrono::seconds(60);
 };
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -17,10 +17,19 @@
 // of more than once.
 constexpr size_t MostRefused = 1000;
 
+/// The second registration says nothing that the first one did not.
 bool sameMeaning(const News &a, const News &b) {
   const auto *x = std::get_if<token::Registration>(&a);
   const auto *y = std::get_if<token::Registration>(&b);
-  return x && y && *x == *y;
+  if (!x || !y)
+    return false;
+  token::Registration later = *y;
+  // It counts down while a server warms up, which whoever was told first knows.
+  bool counting =
+      later.WarmUpLeft > Duration::zero() && later.WarmUpLeft <= x->WarmUpLeft;
+  if (counting)
+    later.WarmUpLeft = x->WarmUpLeft;
+  return *x == later;
 }
 
 /// What an item means, as a number. Equal meanings have equal ones.
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -163,6 +163,12 @@
 
 void NewsDuty::takePeers(Time now) {
   Others.learn(Reader.peers(), now);
+  token::InstancesLearned instances;
+  for (const auto &[id, peer] : Others.known())
+    if (!peer.Leaving)
+      instances.Instances.push_back({.Id = id, .Zone = peer.Zone});
+  Pending.emplace_back(std::move(instances));
+  passNews();
   Spread.learn(Others.known());
   Reader.setPatience(Spread.patience(), Spread.retryMost());
 }
--- a/lib/edge/Settings.cpp
+++ b/lib/edge/Settings.cpp
@@ -126,6 +126,7 @@
     top.finish();
   }
   out.Core.Zone = out.Zone;
+  out.Core.Self = InstanceId{out.Ip};
   out.Core.Seed = hashBytes(out.Name);
   out.Core.Servers.RememberGone = out.Core.MaxFlowAge;
   out.News.Pace = std::clamp<Duration>(out.Core.ApplyWithin / PacesInApply,
--- a/lib/token/Choice.cpp
+++ b/lib/token/Choice.cpp
@@ -52,7 +52,7 @@
     bool missing = Options.Use.MissingAsLastResort &&
                    backend.State == Standing::Missing &&
                    !backend.Info.Draining && !backend.ZoneDrained;
-    if (!backend.takesNew() && !missing)
+    if ((!backend.takesNew() && !missing) || !WarmUps.mayOpen(backend, now))
       continue;
     double cost = score(backend, now);
     if (missing)
@@ -93,11 +93,16 @@
 }
 
 Reason Core::whyNone(const Route &route) const {
+  Reason out = Reason::NoTarget;
   for (const WeightedService &it : route.Services)
-    for (BackendIndex i : Servers.ofService(it.Service))
-      if (Servers.at(i).State == Standing::Ready && Servers.at(i).ZoneDrained)
-        return Reason::ZoneDrained;
-  return Reason::NoTarget;
+    for (BackendIndex i : Servers.ofService(it.Service)) {
+      // All that take new flows warm up, or one of them would have been chosen.
+      if (Servers.at(i).takesNew())
+        return Reason::WarmingUp;
+      if (Servers.at(i).State == Standing::Ready)
+        out = Reason::ZoneDrained;
+    }
+  return out;
 }
 
 void Core::progress(BackendIndex i, Time now) {
@@ -153,6 +158,7 @@
       continue;
     FlowState &moved = remember(it.Flow, to, now);
     moved.SentAt = now;
+    WarmUps.opened(Servers.at(to), now);
     moved.Other = Servers.at(from).Info.Id;
     it.SentAt = now;
     it.Counted = true;
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -25,7 +25,7 @@
 
 Core::Core(CoreOptions options)
     : Options(std::move(options)), Routes(Options.MaxFlowAge),
-      Servers(Options.Servers), Random(Options.Seed) {}
+      Servers(Options.Servers), WarmUps(Options.Self), Random(Options.Seed) {}
 
 void Core::handle(const Event &event, Time now, Actions &actions) {
   Resent.clear();
@@ -86,6 +86,9 @@
   FlowState &flow = remember(key, i, now);
   flow.LastSequence = event.Head.Sequence;
   if (flow.Opening) {
+    // A copy is no further flow.
+    if (flow.SentAt == Time{})
+      WarmUps.opened(Servers.at(i), now);
     flow.SentAt = now;
     Openings.push_back({.Flow = key,
                         .SentAt = now,
@@ -197,6 +200,7 @@
 void Core::on(const RoutesLearned &event, Time now, Actions &actions) {
   if (!Routes.learn(event.Routes, now))
     return;
+  WarmUps.learn(event.Routes.WarmUps);
   Stats.RoutesAge.add(newsAge(now));
   decided({.What = "routes_in_force"}, now, actions);
 }
@@ -206,11 +210,13 @@
 }
 
 void Core::on(const BackendsLearned &event, Time now, Actions &actions) {
-  for (const Registration &it : event.Present)
+  for (const Registration &it : event.Present) {
     if (Servers.learn(it, now))
       decided({.What = it.Draining ? "backend_draining" : "backend_ready",
                .Backend = it.Id},
               now, actions);
+    WarmUps.registered(Servers.at(Servers.find(it.Id)), now);
+  }
   for (BackendId it : event.Ended)
     if (Servers.lost(it, now))
       decided({.What = "backend_missing", .Backend = it}, now, actions);
@@ -223,10 +229,18 @@
 }
 
 void Core::on(const ZoneDrainLearned &event, Time now, Actions &actions) {
-  if (Servers.drainZone(event.Zone, event.Active, now))
-    decided({.What = event.Active ? "zone_drained" : "zone_restored",
-             .Zone = event.Zone},
-            now, actions);
+  if (!Servers.drainZone(event.Zone, event.Active, now))
+    return;
+  for (BackendIndex i = 0; i < Servers.limit() && !event.Active; ++i)
+    if (Servers.at(i).Info.Zone == event.Zone)
+      WarmUps.restored(Servers.at(i), now);
+  decided({.What = event.Active ? "zone_drained" : "zone_restored",
+           .Zone = event.Zone},
+          now, actions);
+}
+
+void Core::on(const InstancesLearned &event, Time now, Actions & /*actions*/) {
+  WarmUps.learn(event.Instances, now);
 }
 
 void Core::decided(Decision decision, Time now, Actions &actions) const {
--- /dev/null
+++ b/lib/token/WarmUp.cpp
@@ -0,0 +1,74 @@
+#include "chicorybank/token/WarmUp.h"
+
+#include "chicorybank/base/Hash.h"
+
+#include <algorithm>
+
+namespace chicory::token {
+
+void WarmUpLimits::learn(const std::vector<ServiceWarmUp> &services) {
+  Services.clear();
+  for (const ServiceWarmUp &it : services)
+    if (it.FlowsPerSecond > 0)
+      Services[it.Service.Value] = it;
+}
+
+void WarmUpLimits::learn(std::vector<WarmUpPeer> peers, Time now) {
+  Peers = std::move(peers);
+  bool listed = std::any_of(Peers.begin(), Peers.end(),
+                            [&](const auto &it) { return it.Id == Self; });
+  ListedSince = listed ? std::min(ListedSince, now) : Time::max();
+}
+
+void WarmUpLimits::registered(Backend &server, Time now) const {
+  if (server.Info.WarmUpLeft > Duration::zero())
+    server.WarmUntil = std::max(server.WarmUntil, now + server.Info.WarmUpLeft);
+}
+
+void WarmUpLimits::restored(Backend &server, Time now) const {
+  auto it = Services.find(server.Info.Service.Value);
+  if (it != Services.end())
+    server.WarmUntil = std::max(server.WarmUntil, now + it->second.Lasts);
+}
+
+const ServiceWarmUp *WarmUpLimits::limitOf(const Backend &server,
+                                           Time now) const {
+  if (now >= server.WarmUntil)
+    return nullptr;
+  auto it = Services.find(server.Info.Service.Value);
+  return it == Services.end() ? nullptr : &it->second;
+}
+
+bool WarmUpLimits::mayOpen(const Backend &server, Time now) const {
+  if (!limitOf(server, now))
+    return true;
+  bool settled = ListedSince != Time::max() && now - ListedSince >= Settling;
+  return settled && now >= server.NextWarmOpening && isOpenerOf(server);
+}
+
+void WarmUpLimits::opened(Backend &server, Time now) const {
+  const ServiceWarmUp *limit = limitOf(server, now);
+  if (!limit)
+    return;
+  std::chrono::duration<double> gap(1 / limit->FlowsPerSecond);
+  server.NextWarmOpening = now + std::chrono::duration_cast<Duration>(gap);
+}
+
+bool WarmUpLimits::isOpenerOf(const Backend &server) const {
+  InstanceId opener;
+  uint64_t highest = 0;
+  bool inZone = false;
+  for (const WarmUpPeer &it : Peers) {
+    bool same = it.Zone == server.Info.Zone;
+    uint64_t hash = mixHash(server.Info.Id.Value, it.Id.Value);
+    // Where the zone has no instance, one of another zone takes its place.
+    if (same < inZone || (same == inZone && hash < highest))
+      continue;
+    inZone = same;
+    highest = hash;
+    opener = it.Id;
+  }
+  return opener == Self;
+}
+
+} // namespace chicory::token
--- a/tests/MirrorTest.cpp
+++ b/tests/MirrorTest.cpp
@@ -21,10 +21,36 @@
   CPPUNIT_TEST(reachesBackOverAllItemsOfALargeFleet);
   CPPUNIT_TEST(tellsEachKeyOnce);
   CPPUNIT_TEST(hasOneChecksumForOneContent);
+  CPPUNIT_TEST(tellsOfAWarmUpOnce);
   CPPUNIT_TEST(tellsOfAFaultOnce);
   CPPUNIT_TEST(passesOnWhatCannotBeRead);
   CPPUNIT_TEST_SUITE_END();
 
+  // Symptom: while servers warm up, every heartbeat is passed on to all
+  // instances.
+  // Cause: what is left of the time counts down, so no heartbeat is like the
+  // one before.
+  void tellsOfAWarmUpOnce() {
+    Store store;
+    Mirror copy(Dialect);
+    Findings findings;
+    auto told = [&](int left) {
+      int64_t before = store.revision();
+      store.put("servers/i-7",
+                R"({"service":"records","address":"10.0.0.7:80","zone":"a",)"
+                R"("slots":2,"state":"ready","warmup_left_ms":)" +
+                    std::to_string(left) + "}");
+      return copy.apply(store.since(before), findings).size();
+    };
+    expectEqual<size_t>(1, told(2000));
+    expectEqual<size_t>(0, told(800));
+    section("its end is news", [&] { expectEqual<size_t>(1, told(0)); });
+    section("so is the next one", [&] { expectEqual<size_t>(1, told(1900)); });
+    section("and one that begins before the last ended",
+            [&] { expectEqual<size_t>(1, told(2000)); });
+    expectTrue(findings.empty(), findings.text());
+  }
+
   // Symptom: the log is full of one line.
   // Sequence: an entry that can't be read stands for hours; it is listed every
   // few seconds.
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(readsTheConfiguration);
   CPPUNIT_TEST(reportsARouteThatNeverMatches);
   CPPUNIT_TEST(leavesOutARouteThatIsWrong);
+  CPPUNIT_TEST(readsWhatServersBearAtFirst);
   CPPUNIT_TEST(readsARegistration);
   CPPUNIT_TEST(reportsFaultsWithTheirPlace);
   CPPUNIT_TEST(readsWhenAServerStarted);
@@ -105,6 +106,36 @@
         findings.text());
   }
 
+  void readsWhatServersBearAtFirst() {
+    auto warmUpsOf = [](const std::string &services, Findings &findings) {
+      News news = read(
+          "op/config",
+          R"({"version":7,"routes":[],"services":)" + services + "}", findings);
+      return std::get<token::RouteSet>(news).WarmUps;
+    };
+    Findings none;
+    auto out = warmUpsOf(
+        R"([{"name":"a","warmup_s":2.5,"warmup_per_s":0.5},{"name":"b"}])",
+        none);
+    expectTrue(none.empty(), none.text());
+    expectTrue(out.size() == 2 &&
+                   out[0] == token::ServiceWarmUp{.Service = serviceIdOf("a"),
+                                                  .Lasts = 2500ms,
+                                                  .FlowsPerSecond = 0.5},
+               "the limit");
+    expectTrue(out[1].FlowsPerSecond == 0, "none where none is given");
+    section("one that can't be read harms no other", [&] {
+      Findings findings;
+      auto rest =
+          warmUpsOf(R"([7,{"name":"a","warmup_s":"x","warmup_per_s":-1},)"
+                    R"({"name":"b","warmup_s":1e300,"warmup_per_s":3}])",
+                    findings);
+      expectEqual<size_t>(3, findings.items().size());
+      expectTrue(rest.back().FlowsPerSecond == 3 && rest.back().Lasts == 1h,
+                 "the other");
+    });
+  }
+
   void readsARegistration() {
     Findings findings;
     News news = read("servers/i-7f3a91c2", Server, findings);
@@ -114,10 +145,14 @@
                "its address");
     expectTrue(!server.Draining, "ready");
     expectEqual<uint32_t>(2, server.Slots);
-    section("how long it stays slow is no news", [&] {
+    expectTrue(server.WarmUpLeft == 700ms, "how long it stays slow");
+    section("nothing else changes with that", [&] {
       Findings none;
       News warmer = read("servers/i-7f3a91c2", changed("700", "100"), none);
-      expectTrue(std::get<token::Registration>(warmer) == server, "the same");
+      auto later = std::get<token::Registration>(warmer);
+      expectTrue(later.WarmUpLeft == 100ms, "it counts down");
+      later.WarmUpLeft = 700ms;
+      expectTrue(later == server, "the same");
     });
     section("it drains", [] {
       std::string text = Server;
