An old list is older than what the copy began with, not than its history

Cause: where all registrations lapse and return, the history of changes is longer than it is kept, and a list that began before its end could no longer bring back what a watch had skipped. Change: only what the copy began with counts; the tests of old lists hold.

--- a/include/chicorybank/edge/Mirror.h
+++ b/include/chicorybank/edge/Mirror.h
@@ -90,6 +90,8 @@
   int64_t Revision = 0;
   /// Changes up to this revision are no longer in `History`.
   int64_t HistoryFrom = 0;
+  /// The revision of the first whole page.
+  int64_t WholeFrom = 0;
   std::map<std::string, Entry> Items;
   /// All orders of the operators that stood at this revision are known.
   int64_t OrdersAsOf = 0;
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -106,12 +106,12 @@
   });
 }
 
-/// The copy has been whole at a later revision than the page's, and lacks the
-/// item. Where the history does not reach back to the page, nothing tells
-/// whether the item has ended since: what a list that may be old brings back
-/// would be a drain of a zone that is over, or a server that has gone.
+/// The copy lacks the item, and began with everything there was at a later
+/// revision than the page's: the item had ended by then. What a list that may be
+/// old brings back would be a drain of a zone that is over, or a server that has
+/// gone.
 bool Mirror::mayHaveEnded(const Item &item, const ItemPage &page) const {
-  return page.Revision < HistoryFrom || endedAfter(item);
+  return page.Revision < WholeFrom || endedAfter(item);
 }
 
 size_t Mirror::historyLimit() const {
@@ -210,8 +210,10 @@
       ended.push_back({.Key = key, .Revision = page.Revision, .Deleted = true});
   for (const Item &it : ended)
     take(it, page, findings, out);
-  if (Revision == 0)
+  if (Revision == 0) {
     HistoryFrom = page.Revision;
+    WholeFrom = page.Revision;
+  }
   Revision = std::max(Revision, page.Revision);
   return out;
 }
