Servers whose registrations lapsed in an outage get their share of new flows

Cause: after an outage of the registry all registrations have lapsed and return one by one. Ruled out: resets of ours (none for want of servers), instances that start.

Kept: 0 where the registry has not yet shown that the server ended, 30 where it has.

--- a/lib/token/Choice.cpp
+++ b/lib/token/Choice.cpp
@@ -22,8 +22,8 @@
 // A server to avoid is taken only where there is no other.
 constexpr double AvoidCost = 50;
 constexpr double SuspectCost = 20;
-// After an outage of the registry all registrations may be missing for a
-// moment. Their servers are worth a try where there is no other.
+// A missing registration of which the registry has shown that it ended. Its
+// server is worth a try where there is no other.
 constexpr double MissingCost = 30;
 constexpr double UsualSlots = 2;
 // An opening that is older than this has its caller's next copy under way.
@@ -47,6 +47,12 @@
 BackendIndex Core::chooseOf(ServiceId service, BackendIndex avoid, Time now) {
   BackendIndex out = NoBackend;
   double best = std::numeric_limits<double>::max();
+  // All registrations may lapse while the registry is away, and they return one
+  // by one. Any cost, however small, would have all instances send what they
+  // have to the few that are back: a hundred instances see no load there, and
+  // those servers shed it. One notices 503 in the second after the registry
+  // returns.
+  double missingCost = trustsMissing(now) ? MissingCost : 0;
   for (BackendIndex i : Servers.ofService(service)) {
     const Backend &backend = Servers.at(i);
     bool missing = Options.Use.MissingAsLastResort &&
@@ -56,7 +62,7 @@
       continue;
     double cost = score(backend, now);
     if (missing)
-      cost += MissingCost;
+      cost += missingCost;
     // A flow at one of two servers with one token would depend on memory.
     if (i == avoid || Servers.sharesToken(i))
       cost += AvoidCost;
