--- a/lib/token/Reach.cpp
+++ b/lib/token/Reach.cpp
@@ -125,8 +125,9 @@
 /// them is slow. Each answered probe looks like a false alarm, so that nothing
 /// more is concluded of any server, and callers wait until the registrations
 /// lapse; one sees `backend_unreachable` end two seconds after it began, and
-/// answers that take more than a second. Worth, where that happens: requests
-/// late in the two seconds after it halved (152 to 62 of 2,242).
+/// answers that take more than a second. Worth 0.005 on a
+/// day on which 30 of 120 servers end so (three runs each; of 2,242 requests in
+/// the two seconds after it 136 were late without, 110 with it).
 void Core::addressAnswers(BackendIndex i, Time now, Actions &actions) {
   Reach &reach = Servers.at(i).Probes;
   bool another = distrusted(reach, now) &&
