--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -107,9 +107,9 @@
 }
 
 /// The copy lacks the item, and began with everything there was at a later
-/// revision than the page's: the item had ended by then. What a list that may be
-/// old brings back would be a drain of a zone that is over, or a server that has
-/// gone.
+/// revision than the page's: the item had ended by then. What a list that may
+/// be old brings back would be a drain of a zone that is over, or a server that
+/// has gone.
 bool Mirror::mayHaveEnded(const Item &item, const ItemPage &page) const {
   return page.Revision < WholeFrom || endedAfter(item);
 }
--- a/tools/soaklib/ends.py
+++ b/tools/soaklib/ends.py
@@ -36,6 +36,7 @@
     def __init__(self, world, ident, service, ip, port, work):
         self.world, self.ident, self.service, self.ip, self.port, self.work = world, ident, service, ip, port, work
         self.key = f"servers/i-{ident:x}"
+        self.zone = world.zones[len(world.backends) % len(world.zones)]
         self.flows = {}
         self.alive = True
         self.draining_since = None
@@ -51,7 +52,7 @@
 
     def register(self):
         state = "draining" if self.draining_since else "ready"
-        value = {"service": self.service, "address": f"{self.ip}:{self.port}", "zone": "a", "version": "v1", "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": 1}
+        value = {"service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone, "version": "v1", "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": 1}
         return self.world.store.put(self.key, json.dumps(value))
 
     def drain(self):
--- a/tools/soaklib/faults.py
+++ b/tools/soaklib/faults.py
@@ -1,6 +1,7 @@
 """What happens in a soak: planned work and faults, drawn by a seed, overlapping."""
 
 import asyncio
+import random
 import signal
 import time
 
@@ -149,6 +150,19 @@
     proxy.fault, proxy.delay = None, 0.0
 
 
+async def drain_zones(world, seconds):
+    """Zones are drained in turn beside everything else, with draws of its own: what other seeds play stays as it was."""
+    draw = random.Random(len(world.instances))
+    end = time.monotonic() + seconds
+    while world.drains_zones and time.monotonic() < end:
+        zone = draw.choice(world.zones)
+        world.checks.count("drain_zone")
+        world.drain_zone(zone)
+        await asyncio.sleep(fleet.APPLY_SECONDS + draw.uniform(0.1, 2))
+        world.restore_zone(zone)
+        await asyncio.sleep(draw.uniform(0.1, 2))
+
+
 PLANNED = (stop_planned, reload, release, routes)
 FAULTS = (kill, pause, crash, store_trouble, store_slow, store_loses, store_forgets, connection, slow, peers)
 
@@ -157,7 +171,7 @@
     """Starts one thing after another; they overlap."""
     end = time.monotonic() + seconds
     kinds = PLANNED if world.planned_only else PLANNED + FAULTS + FAULTS
-    running = set()
+    running = {asyncio.ensure_future(drain_zones(world, seconds))}
     while time.monotonic() < end:
         kind = world.random.choice(kinds)
         world.checks.count(kind.__name__)
--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -115,7 +115,13 @@
 class World:
     """Everything, and the promises."""
 
+    # One seed in three has servers in two zones, and the operators drain one now and then.
+    DRAINS_EVERY = 3
+
     def __init__(self, edge, folder, seed, instances):
+        self.drains_zones = seed % self.DRAINS_EVERY == 1
+        self.zones = ("a", "b") if self.drains_zones else ("a",)
+        self.drained = {}
         self.edge, self.folder = edge, pathlib.Path(folder)
         self.random = random.Random(seed)
         self.checks = ends.Checks()
@@ -171,6 +177,9 @@
             return
         if backend.draining_since and now - backend.draining_since > APPLY_SECONDS:
             self.checks.breaks("drain", f"an opening at {backend.key} {now - backend.draining_since:.1f} s after it began to leave")
+        drained = self.drained.get(backend.zone)
+        if drained and now - drained > APPLY_SECONDS:
+            self.checks.breaks("zone drain", f"an opening at {backend.key} {now - drained:.1f} s after zone {backend.zone} was drained")
         gone = self.dropped.get(key[2:])
         if gone and now - gone > APPLY_SECONDS:
             self.checks.breaks("config", f"an opening on a route that was removed {now - gone:.1f} s before")
@@ -201,6 +210,13 @@
             self.dropped[route] = at
         return route
 
+    def drain_zone(self, zone):
+        self.drained[zone] = self.store.put(f"op/evacuate/{zone}", "{}")
+
+    def restore_zone(self, zone):
+        self.drained.pop(zone, None)
+        self.store.remove(f"op/evacuate/{zone}")
+
     async def add_backend(self, service, address=None):
         self.next_id += 1 + self.random.randrange(1 << 32)
         ip, port = address or (f"127.3.{len(self.backends) // 200}.{len(self.backends) % 200 + 1}", self.server_port)
