Zones: left when their servers are busy, and when they fall silent as a whole

An instance sees only what it sent itself, so the cost of another zone (two requests) is never reached with 28 instances.

Change: what all instances of the zone have in progress is estimated from this one's share; from 1.0 requests a slot flows leave, at 1.5 all choose among all zones. Three misses in a row at different servers of another zone make the zone suspect for 0.8 s, and its waiting openings move.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -16,6 +16,7 @@
 #include "chicorybank/token/FlowMemory.h"
 #include "chicorybank/token/Histogram.h"
 #include "chicorybank/token/Mechanisms.h"
+#include "chicorybank/token/Zones.h"
 
 #include <array>
 #include <deque>
@@ -52,6 +53,7 @@
   Duration SuspectFor = std::chrono::milliseconds(800);
   Duration SuspectForMost = std::chrono::seconds(4);
   ReachOptions Reaching;
+  ZoneOptions Zoning;
   /// A token that stays unknown for this long, while the registrations are
   /// current, belongs to a server that has ended: registrations arrive within
   /// a second.
@@ -150,7 +152,9 @@
   /// Why a route has no server for a new flow.
   Reason whyNone(const Route &route) const;
   BackendIndex chooseOf(ServiceId service, BackendIndex avoid, Time now);
-  double score(const Backend &backend, Time now);
+  double score(const Backend &backend, bool ownZoneFirst, Time now);
+  /// Whether a new flow of a service prefers servers of the own zone.
+  bool staysInZone(ServiceId service, Time now);
 
   void progress(BackendIndex i, Time now);
   void missed(BackendIndex i, Time now, Actions &actions);
@@ -183,7 +187,10 @@
   void resetHopelessFlowsOf(BackendIndex i, Time now, Actions &actions);
   void checkRequests(Time now, Actions &actions);
   Duration requestPatience() const;
-  void steerOpeningsAway(BackendIndex from, Time now, Actions &actions);
+  void steerOpeningsAway(Time now, Actions &actions);
+  bool silent(const Backend &backend, Time now) const {
+    return backend.suspect(now) || ZoneView.suspect(backend.Info.Zone, now);
+  }
   void checkOpenings(Time now, Actions &actions);
   void endFormerLives(int64_t readAt, Time now, Actions &actions);
   void endServers(bool trusted, Time now, Actions &actions);
@@ -228,6 +235,7 @@
   RouteTable Routes;
   Backends Servers;
   WarmUpLimits WarmUps;
+  Zones ZoneView;
   FlowMemory Flows;
   std::deque<Opening> Openings;
   std::deque<Request> Requests;
--- a/lib/token/Choice.cpp
+++ b/lib/token/Choice.cpp
@@ -33,13 +33,29 @@
 
 } // namespace
 
-double Core::score(const Backend &backend, Time now) {
+bool Core::staysInZone(ServiceId service, Time now) {
+  if (!Options.Use.OwnZoneFirst)
+    return false;
+  uint32_t load = 0;
+  uint32_t slots = 0;
+  for (BackendIndex i : Servers.ofService(service)) {
+    const Backend &backend = Servers.at(i);
+    if (backend.Info.Zone != Options.Zone)
+      continue;
+    load += backend.load();
+    slots += backend.takesNew() ? backend.Info.Slots : 0;
+  }
+  double leaves = ZoneView.shareThatLeaves(service, load, slots, now);
+  return std::uniform_real_distribution<double>(0, 1)(Random) >= leaves;
+}
+
+double Core::score(const Backend &backend, bool ownZoneFirst, Time now) {
   double slots = std::max<uint32_t>(backend.Info.Slots, 1);
   double load = backend.load();
   double out = load * UsualSlots / slots;
-  if (Options.Use.OwnZoneFirst && backend.Info.Zone != Options.Zone)
+  if (ownZoneFirst && backend.Info.Zone != Options.Zone)
     out += OtherZoneCost;
-  if (backend.suspect(now))
+  if (silent(backend, now))
     out += SuspectCost;
   return out + std::uniform_real_distribution<double>(0, TieSpread)(Random);
 }
@@ -47,6 +63,7 @@
 BackendIndex Core::chooseOf(ServiceId service, BackendIndex avoid, Time now) {
   BackendIndex out = NoBackend;
   double best = std::numeric_limits<double>::max();
+  bool stays = staysInZone(service, now);
   // All registrations may lapse while the registry is away, and they return one
   // by one. Any cost, however small, would have all instances send what they
   // have to the few that are back: a hundred instances see no load there, and
@@ -60,7 +77,7 @@
                    !backend.Info.Draining && !backend.ZoneDrained;
     if ((!backend.takesNew() && !missing) || !WarmUps.mayOpen(backend, now))
       continue;
-    double cost = score(backend, now);
+    double cost = score(backend, stays, now);
     if (missing)
       cost += missingCost;
     // A flow at one of two servers with one token would depend on memory.
@@ -118,6 +135,7 @@
   backend.LastProgress = now;
   backend.SuspectUntil = {};
   backend.Probes.Silent = false;
+  ZoneView.progressed(backend.Info.Zone);
 }
 
 void Core::missed(BackendIndex i, Time now, Actions &actions) {
@@ -126,6 +144,13 @@
   doubt(i, now, actions);
   if (backend.Unanswered >= Options.SuspectAfter)
     suspect(i, now, actions);
+  if (!Options.Use.Suspicion || !ZoneView.missed(backend, now))
+    return;
+  decided({.What = "zone_suspect",
+           .Why = Reason::BackendSilent,
+           .Zone = backend.Info.Zone},
+          now, actions);
+  steerOpeningsAway(now, actions);
 }
 
 void Core::suspect(BackendIndex i, Time now, Actions &actions) {
@@ -143,25 +168,26 @@
                                 .Backend = backend.Info.Id,
                                 .Rules = Routes.version(),
                                 .Age = now - backend.LastProgress});
-  steerOpeningsAway(i, now, actions);
+  steerOpeningsAway(now, actions);
 }
 
 /// A silent server swallows openings, and callers notice after 200 ms. The
-/// openings that wait at it go to another server at once.
-void Core::steerOpeningsAway(BackendIndex from, Time now, Actions &actions) {
+/// openings that wait at silent ones go to another server at once.
+void Core::steerOpeningsAway(Time now, Actions &actions) {
   if (!Options.Use.MovedOpenings)
     return;
   for (Opening &it : Openings) {
     FlowState *flow = flowOf(it.Flow);
-    if (!flow || !flow->Opening || flow->Backend != from)
+    if (!flow || !flow->Opening || !silent(Servers.at(flow->Backend), now))
       continue;
+    BackendIndex from = flow->Backend;
     if (now - it.SentAt > SteerWithin || flow->SentAt != it.SentAt)
       continue;
     const Route *route = Routes.find(it.Flow.Destination);
     if (!route)
       continue;
     BackendIndex to = choose(*route, hashFlow(it.Flow), from, now);
-    if (to == NoBackend || to == from || Servers.at(to).suspect(now))
+    if (to == NoBackend || to == from || silent(Servers.at(to), now))
       continue;
     FlowState &moved = remember(it.Flow, to, now);
     moved.SentAt = now;
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -25,7 +25,8 @@
 
 Core::Core(CoreOptions options)
     : Options(std::move(options)), Routes(Options.MaxFlowAge),
-      Servers(Options.Servers), WarmUps(Options.Self), Random(Options.Seed) {}
+      Servers(Options.Servers), WarmUps(Options.Self),
+      ZoneView(Options.Zone, Options.Zoning), Random(Options.Seed) {}
 
 void Core::handle(const Event &event, Time now, Actions &actions) {
   Resent.clear();
@@ -56,12 +57,12 @@
   forgetFormer(head.key(), now);
   if (FlowState *flow = flowOf(head.key())) {
     const Backend &backend = Servers.at(flow->Backend);
-    bool silent = backend.suspect(now) || !backend.takesNew();
+    bool away = silent(backend, now) || !backend.takesNew();
     // All copies go to one server: two that answer would leave the caller with
     // a flow at one and the token of the other. Only a server that answers
     // nobody loses its openings, and only where the copy is a real one.
     bool real = flow->Opening && now - flow->SentAt >= CopyGap;
-    if (!real || !silent)
+    if (!real || !away)
       return openAt(event, flow->Backend, now, actions);
     avoid = flow->Backend;
   }
@@ -241,6 +242,7 @@
 
 void Core::on(const InstancesLearned &event, Time now, Actions & /*actions*/) {
   WarmUps.learn(event.Instances, now);
+  ZoneView.learn(event.Instances);
 }
 
 void Core::decided(Decision decision, Time now, Actions &actions) const {
--- /dev/null
+++ b/lib/token/Zones.cpp
@@ -0,0 +1,55 @@
+#include "chicorybank/token/Zones.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicory::token {
+
+void Zones::learn(const std::vector<WarmUpPeer> &instances) {
+  auto n = std::count_if(instances.begin(), instances.end(),
+                         [&](const auto &it) { return it.Zone == Own; });
+  InstancesHere = static_cast<uint32_t>(std::max<int64_t>(n, 1));
+}
+
+void Zones::progressed(const std::string &zone) {
+  auto it = ByZone.find(zone);
+  if (it != ByZone.end())
+    it->second = {};
+}
+
+bool Zones::missed(const Backend &server, Time now) {
+  // An instance is not cut off from its own zone.
+  if (server.Info.Zone == Own)
+    return false;
+  Evidence &evidence = ByZone[server.Info.Zone];
+  if (evidence.Last == server.Info.Id)
+    return false;
+  evidence.Last = server.Info.Id;
+  if (++evidence.Missed < Options.SuspectAfter || now < evidence.SuspectUntil)
+    return false;
+  evidence.SuspectUntil = now + Options.SuspectFor;
+  return true;
+}
+
+bool Zones::suspect(const std::string &zone, Time now) const {
+  auto it = ByZone.find(zone);
+  return it != ByZone.end() && now < it->second.SuspectUntil;
+}
+
+double Zones::shareThatLeaves(ServiceId service, uint32_t load, uint32_t slots,
+                              Time now) {
+  if (slots == 0)
+    return 1;
+  Load &it = ByService[service.Value];
+  std::chrono::duration<double> passed = now - it.At;
+  std::chrono::duration<double> smoothing = Options.Smoothing;
+  double weight = 1 - std::exp(-passed / smoothing);
+  it.Smoothed += (load - it.Smoothed) * weight;
+  it.At = now;
+  double busy = it.Smoothed * InstancesHere / slots;
+  return std::clamp((busy - Options.LeaveFrom) /
+                        (Options.LeaveAll - Options.LeaveFrom),
+                    0.0, 1.0);
+}
+
+} // namespace chicory::token
--- /dev/null
+++ b/tests/ZonesTest.cpp
@@ -0,0 +1,179 @@
+// Zones that fall silent as a whole, and zones whose servers are busy.
+
+#include "chicorybank/token/Zones.h"
+
+#include "Story.h"
+#include "TokenSamples.h"
+
+using namespace story;
+using namespace samples::token;
+
+namespace {
+
+Registration serverIn(const std::string &zone, uint64_t id) {
+  Registration out = server(id);
+  out.Zone = zone;
+  return out;
+}
+
+/// Twenty servers in zone b and as many in zone c; those of zone a are drained.
+Instance withoutServersHere() {
+  Instance out;
+  std::vector<Registration> servers;
+  for (uint64_t id = 1; id <= 40; ++id)
+    servers.push_back(serverIn(id <= 20 ? "b" : "c", id));
+  out.learn(servers);
+  return out;
+}
+
+bool inZoneB(uint64_t id) { return id != 0 && id <= 20; }
+
+} // namespace
+
+class ZonesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ZonesTest);
+  CPPUNIT_TEST(leavesAZoneThatIsCutOff);
+  CPPUNIT_TEST(movesTheOpeningsThatWaitThere);
+  CPPUNIT_TEST(staysWhereAnyServerAnswers);
+  CPPUNIT_TEST(neverDoubtsItsOwnZone);
+  CPPUNIT_TEST(leavesAZoneThatIsBusy);
+  CPPUNIT_TEST(estimatesForAllInstancesOfTheZone);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Symptom: for seconds after a zone is cut off, callers of another zone wait
+  // for their copies of openings.
+  // Sequence: the servers of their own zone are drained, so that half of the
+  // openings go into the zone that is cut off.
+  // Cause: each of its servers had to be found silent by itself.
+  // Pattern: 28 instances with 18 openings a second each, 40 servers in each
+  // zone. Grounds: an instance loses as many openings as it takes to see,
+  // three, in place of two for each server.
+  void leavesAZoneThatIsCutOff() {
+    Instance instance = withoutServersHere();
+    size_t lost = 0;
+    for (uint16_t port = 1; port <= 60; ++port) {
+      Caller caller{.Port = port};
+      uint64_t to = sentTo(instance.packet(caller.open()));
+      if (inZoneB(to)) {
+        ++lost;
+      } else {
+        caller.Echo = tokenOf(BackendId{to});
+        instance.packet(caller.ack());
+      }
+      instance.pass(10ms);
+    }
+    expectTrue(lost <= 10, "few are lost: " + shown(lost));
+  }
+
+  void movesTheOpeningsThatWaitThere() {
+    Instance instance = withoutServersHere();
+    size_t waiting = 0;
+    for (uint16_t port = 1; port <= 20; ++port) {
+      Caller caller{.Port = port};
+      uint64_t to = sentTo(instance.packet(caller.open()));
+      if (inZoneB(to)) {
+        ++waiting;
+        continue;
+      }
+      caller.Echo = tokenOf(BackendId{to});
+      instance.packet(caller.ack());
+    }
+    expectTrue(waiting >= 4, "some went there: " + shown(waiting));
+    size_t moved = 0;
+    for (const Forward &it : only<Forward>(instance.pass(60ms)))
+      moved += inZoneB(it.To.Value) ? 0 : 1;
+    expectEqual(waiting, moved);
+  }
+
+  void staysWhereAnyServerAnswers() {
+    Zones zones("a", {});
+    Backend one{.Info = serverIn("b", 1)};
+    Backend two{.Info = serverIn("b", 2)};
+    for (int n = 0; n < 20; ++n) {
+      expectTrue(!zones.missed(one, Start), "one alone");
+      expectTrue(!zones.missed(two, Start), "two");
+      zones.progressed("b");
+    }
+    section("one server that leaves all unanswered is no zone", [&] {
+      for (int n = 0; n < 20; ++n)
+        expectTrue(!zones.missed(one, Start), "the same one");
+    });
+    section("a row is", [&] {
+      zones.missed(two, Start);
+      expectTrue(zones.missed(one, Start), "three in a row");
+      expectTrue(zones.suspect("b", Start), "suspect");
+      expectTrue(!zones.suspect("b", Start + 1s), "for a while");
+    });
+    section("until one answers", [&] {
+      zones.progressed("b");
+      expectTrue(!zones.suspect("b", Start), "at once");
+    });
+  }
+
+  void neverDoubtsItsOwnZone() {
+    Zones zones("a", {});
+    for (uint64_t id = 1; id < 20; ++id)
+      expectTrue(!zones.missed(Backend{.Info = serverIn("a", id)}, Start),
+                 "its own");
+  }
+
+  // Symptom: servers of one zone shed requests while those of the others idle.
+  // Sequence: half of a zone's callers move to another one, then come 1.8 times
+  // as many requests.
+  // Cause: each of 28 instances has at most a request or two at any of 40
+  // servers, so that none looks busier than a server of another zone.
+  void leavesAZoneThatIsBusy() {
+    Instance instance({.Zone = "b", .Self = InstanceId{1}, .Seed = 3});
+    std::vector<Registration> servers;
+    for (uint64_t id = 1; id <= 40; ++id)
+      servers.push_back(serverIn(id <= 20 ? "b" : "c", id));
+    instance.learn(servers);
+    std::vector<WarmUpPeer> peers;
+    for (uint32_t id = 1; id <= 20; ++id)
+      peers.push_back({.Id = InstanceId{id}, .Zone = "b"});
+    instance.handle(InstancesLearned{peers});
+    auto elsewhere = [&](int inProgress, uint16_t from) {
+      for (int n = 0; n < inProgress; ++n) {
+        Caller caller{.Port = static_cast<uint16_t>(from + n),
+                      .Echo = tokenOf(BackendId{1 + n % 20u})};
+        instance.packet(caller.data(1));
+      }
+      instance.Now += 2s;
+      size_t out = 0;
+      for (uint16_t port = 1; port <= 100; ++port) {
+        Caller caller{.Port = static_cast<uint16_t>(from + 1000 + port)};
+        uint64_t to = sentTo(instance.packet(caller.open()));
+        out += inZoneB(to) ? 0 : 1;
+        FlowPacket end = caller.ack();
+        end.Finish = true;
+        instance.packet(end);
+      }
+      return out;
+    };
+    // 20 instances with one request each, before 40 slots: a half.
+    expectEqual<size_t>(0, elsewhere(1, 1));
+    // With five each: two and a half for each slot.
+    expectTrue(elsewhere(4, 5000) >= 35, "about half leave");
+  }
+
+  void estimatesForAllInstancesOfTheZone() {
+    Zones zones("a", {});
+    auto share = [&](uint32_t load, uint32_t slots) {
+      return zones.shareThatLeaves(Records, load, slots, Start + 1h);
+    };
+    expectEqual(0.0, share(4, 80));
+    std::vector<WarmUpPeer> peers;
+    for (uint32_t id = 1; id <= 28; ++id)
+      peers.push_back({.Id = InstanceId{id}, .Zone = id <= 25 ? "a" : "b"});
+    zones.learn(peers);
+    Zones other("a", {});
+    other.learn(peers);
+    expectEqual(1.0, other.shareThatLeaves(Records, 8, 80, Start));
+    expectEqual(1.0, other.shareThatLeaves(Records, 0, 0, Start));
+    section("of the service alone", [&] {
+      expectEqual(0.0, other.shareThatLeaves(Certificates, 0, 80, Start));
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ZonesTest);
