--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -53,7 +53,7 @@
 
 /// The registered instances are these.
 struct InstancesLearned {
-  std::vector<WarmUpPeer> Instances;
+  std::vector<ZonedInstance> Instances;
 };
 
 /// All backend servers were told at least once: the instance may serve.
--- a/include/chicorybank/token/Types.h
+++ b/include/chicorybank/token/Types.h
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <span>
+#include <string>
 
 namespace chicory::token {
 
@@ -33,6 +34,14 @@
 /// the token.
 using Bytes = std::span<const std::byte>;
 
+/// An instance and its availability zone.
+struct ZonedInstance {
+  InstanceId Id;
+  std::string Zone;
+
+  bool operator==(const ZonedInstance &) const = default;
+};
+
 /// What decisions need to know of a packet from a caller.
 struct FlowPacket {
   Address Caller;
--- a/include/chicorybank/token/WarmUp.h
+++ b/include/chicorybank/token/WarmUp.h
@@ -29,14 +29,6 @@
 
 namespace chicory::token {
 
-/// An instance that shares the work, and where it is.
-struct WarmUpPeer {
-  InstanceId Id;
-  std::string Zone;
-
-  bool operator==(const WarmUpPeer &) const = default;
-};
-
 /// Who may open flows at servers that warm up, and when.
 class WarmUpLimits {
 public:
@@ -49,7 +41,7 @@
 
   void learn(const std::vector<ServiceWarmUp> &services);
   /// The registered instances, this one included if it is registered.
-  void learn(std::vector<WarmUpPeer> peers, Time now);
+  void learn(std::vector<ZonedInstance> peers, Time now);
 
   /// A registration was read.
   void registered(Backend &server, Time now) const;
@@ -67,7 +59,7 @@
 
   InstanceId Self;
   std::unordered_map<uint32_t, ServiceWarmUp> Services;
-  std::vector<WarmUpPeer> Peers;
+  std::vector<ZonedInstance> Peers;
   /// Since when this instance is among them; `Time::max()` while it is not.
   Time ListedSince = Time::max();
 };
--- a/include/chicorybank/token/Zones.h
+++ b/include/chicorybank/token/Zones.h
@@ -5,7 +5,6 @@
 #define CHICORYBANK_TOKEN_ZONES_H
 
 #include "chicorybank/token/Backends.h"
-#include "chicorybank/token/WarmUp.h"
 
 #include <map>
 #include <string>
@@ -52,7 +51,7 @@
   Zones(std::string own, ZoneOptions options)
       : Own(std::move(own)), Options(options) {}
 
-  void learn(const std::vector<WarmUpPeer> &instances);
+  void learn(const std::vector<ZonedInstance> &instances);
 
   /// A server of a zone has answered.
   void progressed(const std::string &zone);
--- a/lib/token/WarmUp.cpp
+++ b/lib/token/WarmUp.cpp
@@ -13,7 +13,7 @@
       Services[it.Service.Value] = it;
 }
 
-void WarmUpLimits::learn(std::vector<WarmUpPeer> peers, Time now) {
+void WarmUpLimits::learn(std::vector<ZonedInstance> peers, Time now) {
   Peers = std::move(peers);
   bool listed = std::any_of(Peers.begin(), Peers.end(),
                             [&](const auto &it) { return it.Id == Self; });
@@ -58,7 +58,7 @@
   InstanceId opener;
   uint64_t highest = 0;
   bool inZone = false;
-  for (const WarmUpPeer &it : Peers) {
+  for (const ZonedInstance &it : Peers) {
     bool same = it.Zone == server.Info.Zone;
     uint64_t hash = mixHash(server.Info.Id.Value, it.Id.Value);
     // Where the zone has no instance, one of another zone takes its place.
--- a/lib/token/Zones.cpp
+++ b/lib/token/Zones.cpp
@@ -5,7 +5,7 @@
 
 namespace chicory::token {
 
-void Zones::learn(const std::vector<WarmUpPeer> &instances) {
+void Zones::learn(const std::vector<ZonedInstance> &instances) {
   auto n = std::count_if(instances.begin(), instances.end(),
                          [&](const auto &it) { return it.Zone == Own; });
   InstancesHere = static_cast<uint32_t>(std::max<int64_t>(n, 1));
--- a/tests/WarmUpTest.cpp
+++ b/tests/WarmUpTest.cpp
@@ -15,7 +15,7 @@
 
 constexpr Duration Lasts = 2s;
 
-WarmUpPeer peer(uint32_t id, const std::string &zone = "a") {
+ZonedInstance peer(uint32_t id, const std::string &zone = "a") {
   return {.Id = InstanceId{id}, .Zone = zone};
 }
 
@@ -34,7 +34,7 @@
 }
 
 /// An instance of zone a that has been registered for long.
-Instance settled(uint32_t self, const std::vector<WarmUpPeer> &peers,
+Instance settled(uint32_t self, const std::vector<ZonedInstance> &peers,
                  double perSecond) {
   Instance out({.Zone = "a", .Self = InstanceId{self}, .Seed = self});
   out.learn({});
@@ -89,7 +89,7 @@
   }
 
   void leavesAServerToOneInstance() {
-    std::vector<WarmUpPeer> peers;
+    std::vector<ZonedInstance> peers;
     for (uint32_t id = 1; id <= 10; ++id)
       peers.push_back(peer(id));
     size_t openers = 0;
@@ -154,8 +154,8 @@
       // and five.
       auto n = *rc::gen::inRange<uint32_t>(2, 12);
       double rate = *rc::gen::element(0.5, 2.0, 10.0);
-      std::vector<WarmUpPeer> all;
-      std::vector<WarmUpPeer> half;
+      std::vector<ZonedInstance> all;
+      std::vector<ZonedInstance> half;
       for (uint32_t id = 1; id <= n; ++id) {
         all.push_back(peer(id));
         if (id <= n / 2 + 1)
--- a/tests/ZoneDrainTest.cpp
+++ b/tests/ZoneDrainTest.cpp
@@ -34,6 +34,15 @@
   return out;
 }
 
+/// Opens a flow there, at server 1.
+Caller flowInZoneA(Instance &instance) {
+  Caller out;
+  instance.packet(out.open());
+  out.Echo = tokenOf(BackendId{1});
+  instance.packet(out.ack());
+  return out;
+}
+
 const ZoneDrainLearned DrainA{.Zone = "a", .Active = true};
 const ZoneDrainLearned RestoreA{.Zone = "a", .Active = false};
 
@@ -109,10 +118,7 @@
 
   void keepsOpenFlowsWhereTheyAre() {
     Instance instance = twoZones();
-    Caller caller;
-    instance.packet(caller.open());
-    caller.Echo = tokenOf(BackendId{1});
-    instance.packet(caller.ack());
+    Caller caller = flowInZoneA(instance);
     instance.handle(DrainA);
     for (uint32_t n = 0; n < 20; ++n) {
       instance.pass(1s);
@@ -144,10 +150,7 @@
   // Cause: the flow that is remembered decides where the opening goes.
   void knowsANewFlowFromAnEarlierOneOfThePort() {
     Instance instance = twoZones();
-    Caller caller;
-    instance.packet(caller.open());
-    caller.Echo = tokenOf(BackendId{1});
-    instance.packet(caller.ack());
+    Caller caller = flowInZoneA(instance);
     instance.handle(DrainA);
     instance.pass(5s);
     expectEqual<uint64_t>(2, sentTo(instance.packet(caller.open())));
--- a/tests/ZonesTest.cpp
+++ b/tests/ZonesTest.cpp
@@ -128,7 +128,7 @@
     for (uint64_t id = 1; id <= 40; ++id)
       servers.push_back(serverIn(id <= 20 ? "b" : "c", id));
     instance.learn(servers);
-    std::vector<WarmUpPeer> peers;
+    std::vector<ZonedInstance> peers;
     for (uint32_t id = 1; id <= 20; ++id)
       peers.push_back({.Id = InstanceId{id}, .Zone = "b"});
     instance.handle(InstancesLearned{peers});
@@ -162,7 +162,7 @@
       return zones.shareThatLeaves(Records, load, slots, Start + 1h);
     };
     expectEqual(0.0, share(4, 80));
-    std::vector<WarmUpPeer> peers;
+    std::vector<ZonedInstance> peers;
     for (uint32_t id = 1; id <= 28; ++id)
       peers.push_back({.Id = InstanceId{id}, .Zone = id <= 25 ? "a" : "b"});
     zones.learn(peers);
