--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -154,7 +154,7 @@
   BackendIndex chooseOf(ServiceId service, BackendIndex avoid, Time now);
   double score(const Backend &backend, bool ownZoneFirst, Time now);
   /// Whether a new flow of a service prefers servers of the own zone.
-  bool staysInZone(ServiceId service, Time now);
+  bool staysInZone(ServiceId service);
 
   void progress(BackendIndex i, Time now);
   void missed(BackendIndex i, Time now, Actions &actions);
--- a/include/chicorybank/token/Zones.h
+++ b/include/chicorybank/token/Zones.h
@@ -61,10 +61,10 @@
   bool suspect(const std::string &zone, Time now) const;
 
   /// What this instance has in progress at servers of its zone, and the slots
-  /// of those; of one service. Returns the share of new flows that choose among
-  /// all zones.
-  double shareThatLeaves(ServiceId service, uint32_t load, uint32_t slots,
-                         Time now);
+  /// of those; of one service.
+  void observe(ServiceId service, uint32_t load, uint32_t slots, Time now);
+  /// The share of a service's new flows that choose among all zones.
+  double shareThatLeaves(ServiceId service) const;
 
 private:
   struct Evidence {
@@ -74,6 +74,7 @@
   };
   struct Load {
     double Smoothed = 0;
+    uint32_t Slots = 1;
     Time At;
   };
 
@@ -81,6 +82,9 @@
   ZoneOptions Options;
   uint32_t InstancesHere = 1;
   std::map<std::string, Evidence> ByZone;
+  /// No zone is suspect after this: most of the time nothing has to be looked
+  /// up for each of thousands of servers.
+  Time AnySuspectUntil;
   std::unordered_map<uint32_t, Load> ByService;
 };
 
--- a/lib/token/Choice.cpp
+++ b/lib/token/Choice.cpp
@@ -33,20 +33,10 @@
 
 } // namespace
 
-bool Core::staysInZone(ServiceId service, Time now) {
-  if (!Options.Use.OwnZoneFirst)
-    return false;
-  uint32_t load = 0;
-  uint32_t slots = 0;
-  for (BackendIndex i : Servers.ofService(service)) {
-    const Backend &backend = Servers.at(i);
-    if (backend.Info.Zone != Options.Zone)
-      continue;
-    load += backend.load();
-    slots += backend.takesNew() ? backend.Info.Slots : 0;
-  }
-  double leaves = ZoneView.shareThatLeaves(service, load, slots, now);
-  return std::uniform_real_distribution<double>(0, 1)(Random) >= leaves;
+bool Core::staysInZone(ServiceId service) {
+  double leaves = ZoneView.shareThatLeaves(service);
+  return Options.Use.OwnZoneFirst &&
+         std::uniform_real_distribution<double>(0, 1)(Random) >= leaves;
 }
 
 double Core::score(const Backend &backend, bool ownZoneFirst, Time now) {
@@ -63,7 +53,9 @@
 BackendIndex Core::chooseOf(ServiceId service, BackendIndex avoid, Time now) {
   BackendIndex out = NoBackend;
   double best = std::numeric_limits<double>::max();
-  bool stays = staysInZone(service, now);
+  bool stays = staysInZone(service);
+  uint32_t loadHere = 0;
+  uint32_t slotsHere = 0;
   // All registrations may lapse while the registry is away, and they return one
   // by one. Any cost, however small, would have all instances send what they
   // have to the few that are back: a hundred instances see no load there, and
@@ -72,6 +64,10 @@
   double missingCost = trustsMissing(now) ? MissingCost : 0;
   for (BackendIndex i : Servers.ofService(service)) {
     const Backend &backend = Servers.at(i);
+    if (backend.Info.Zone == Options.Zone) {
+      loadHere += backend.load();
+      slotsHere += backend.takesNew() ? backend.Info.Slots : 0;
+    }
     bool missing = Options.Use.MissingAsLastResort &&
                    backend.State == Standing::Missing &&
                    !backend.Info.Draining && !backend.ZoneDrained;
@@ -88,6 +84,7 @@
     best = cost;
     out = i;
   }
+  ZoneView.observe(service, loadHere, slotsHere, now);
   return out;
 }
 
--- a/lib/token/Zones.cpp
+++ b/lib/token/Zones.cpp
@@ -28,25 +28,35 @@
   if (++evidence.Missed < Options.SuspectAfter || now < evidence.SuspectUntil)
     return false;
   evidence.SuspectUntil = now + Options.SuspectFor;
+  AnySuspectUntil = std::max(AnySuspectUntil, evidence.SuspectUntil);
   return true;
 }
 
 bool Zones::suspect(const std::string &zone, Time now) const {
+  if (now >= AnySuspectUntil)
+    return false;
   auto it = ByZone.find(zone);
   return it != ByZone.end() && now < it->second.SuspectUntil;
 }
 
-double Zones::shareThatLeaves(ServiceId service, uint32_t load, uint32_t slots,
-                              Time now) {
-  if (slots == 0)
-    return 1;
+void Zones::observe(ServiceId service, uint32_t load, uint32_t slots,
+                    Time now) {
   Load &it = ByService[service.Value];
   std::chrono::duration<double> passed = now - it.At;
   std::chrono::duration<double> smoothing = Options.Smoothing;
   double weight = 1 - std::exp(-passed / smoothing);
   it.Smoothed += (load - it.Smoothed) * weight;
+  it.Slots = slots;
   it.At = now;
-  double busy = it.Smoothed * InstancesHere / slots;
+}
+
+double Zones::shareThatLeaves(ServiceId service) const {
+  auto it = ByService.find(service.Value);
+  if (it == ByService.end())
+    return 0;
+  if (it->second.Slots == 0)
+    return 1;
+  double busy = it->second.Smoothed * InstancesHere / it->second.Slots;
   return std::clamp((busy - Options.LeaveFrom) /
                         (Options.LeaveAll - Options.LeaveFrom),
                     0.0, 1.0);
--- a/tests/ZonesTest.cpp
+++ b/tests/ZonesTest.cpp
@@ -157,21 +157,28 @@
   }
 
   void estimatesForAllInstancesOfTheZone() {
-    Zones zones("a", {});
-    auto share = [&](uint32_t load, uint32_t slots) {
-      return zones.shareThatLeaves(Records, load, slots, Start + 1h);
-    };
-    expectEqual(0.0, share(4, 80));
+    Zones alone("a", {});
+    expectEqual(0.0, alone.shareThatLeaves(Records));
+    alone.observe(Records, 4, 80, Start + 1h);
+    expectEqual(0.0, alone.shareThatLeaves(Records));
     std::vector<ZonedInstance> peers;
     for (uint32_t id = 1; id <= 28; ++id)
       peers.push_back({.Id = InstanceId{id}, .Zone = id <= 25 ? "a" : "b"});
+    Zones zones("a", {});
     zones.learn(peers);
-    Zones other("a", {});
-    other.learn(peers);
-    expectEqual(1.0, other.shareThatLeaves(Records, 8, 80, Start));
-    expectEqual(1.0, other.shareThatLeaves(Records, 0, 0, Start));
-    section("of the service alone", [&] {
-      expectEqual(0.0, other.shareThatLeaves(Certificates, 0, 80, Start));
+    zones.observe(Records, 8, 80, Start);
+    expectEqual(1.0, zones.shareThatLeaves(Records));
+    section("of the service alone",
+            [&] { expectEqual(0.0, zones.shareThatLeaves(Certificates)); });
+    section("over several requests of each caller", [&] {
+      zones.observe(Records, 0, 80, Start + 10ms);
+      expectEqual(1.0, zones.shareThatLeaves(Records));
+      zones.observe(Records, 0, 80, Start + 3s);
+      expectEqual(0.0, zones.shareThatLeaves(Records));
+    });
+    section("all leave where nothing takes new flows", [&] {
+      zones.observe(Records, 0, 0, Start + 4s);
+      expectEqual(1.0, zones.shareThatLeaves(Records));
     });
   }
 };
