Sight: the registry's generation and revision beside the copy's

Logs could not tell whether an instance's copy is ahead of the registry, so the three hypotheses of the incident stayed apart. Nothing decides by any of it.

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -68,6 +68,10 @@
   uint64_t Pulls = 0;
   /// Of those, the ones that read everything.
   uint64_t WholePulls = 0;
+  /// Answers that told a later generation than any before.
+  uint64_t Generations = 0;
+  /// Answers of the registry with a revision below that of the copy.
+  uint64_t RevisionsBehind = 0;
 };
 
 /// A call to be made, with its time limit.
@@ -81,6 +85,8 @@
   /// Zero: no answer came.
   int Status = 0;
   std::string Body;
+  /// The registry's generation; nothing where the answer does not tell it.
+  std::optional<Generation> Life;
 };
 
 /// The state machine; it does no I/O. One registry call is under way at a time.
@@ -143,6 +149,10 @@
   bool away(Time now) const { return now - CurrentAt > Times.AwayAfter; }
   Time currentAt() const { return CurrentAt; }
   const Mirror &mirror() const { return Copy; }
+  /// The latest generation that an answer has told.
+  Generation generation() const { return Seen; }
+  /// The revision that the registry told last.
+  int64_t toldRevision() const { return ToldRevision; }
   const NewsStats &stats() const { return Stats; }
 
 private:
@@ -170,6 +180,9 @@
   /// This instance is the one that watches.
   bool watches() const { return Patience <= Times.Pace; }
 
+  void noteGeneration(const NewsAnswer &answer);
+  void noteRevision(const ItemPage &page);
+
   NewsTimes Times;
   const RegistryDialect &Dialect;
   std::mt19937_64 Random;
@@ -207,6 +220,8 @@
   std::map<InstanceId, PeerRecord> Peers;
   RouteRecords Recorded;
   DirectoryNote StoredDirectory;
+  Generation Seen;
+  int64_t ToldRevision = 0;
   Findings Faults;
   NewsStats Stats;
 };
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -9,11 +9,14 @@
 #define CHICORYBANK_EDGE_REGISTRY_H
 
 #include "chicorybank/base/Findings.h"
+#include "chicorybank/edge/Position.h"
 #include "chicorybank/token/Events.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 #include <variant>
 #include <vector>
@@ -153,6 +156,12 @@
 public:
   virtual ~RegistryDialect() = default;
 
+  /// The header of all answers that tells the registry's generation.
+  virtual std::string generationHeader() const = 0;
+  /// Reads that header; nothing where it can't be read.
+  virtual std::optional<Generation>
+  readGeneration(std::string_view text) const = 0;
+
   /// Reads every item behind the key `after`; empty starts at the first.
   virtual RegistryCall list(const std::string &after,
                             Freshness freshness) const = 0;
--- a/lib/edge/Http.cpp
+++ b/lib/edge/Http.cpp
@@ -2,9 +2,11 @@
 
 #include <array>
 #include <cerrno>
+#include <strings.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace chicory::edge {
 
@@ -13,6 +15,7 @@
 // The registry's pages hold a megabyte, and base64 adds a third.
 constexpr size_t MaxBody = 4 << 20;
 constexpr size_t MaxTarget = 4096;
+constexpr size_t MaxHeader = 256;
 constexpr size_t ReadChunk = 16 << 10;
 constexpr size_t MaxConnections = 64;
 // Probes come twice a second; a connection without any is abandoned.
@@ -44,6 +47,23 @@
     it.Target.append(at, n);
     return it.Target.size() > MaxTarget ? 1 : 0;
   }
+  static int onField(http_parser *parser, const char *at, size_t n) {
+    HttpMessage &it = of(parser);
+    if (std::exchange(it.InValue, false))
+      it.Field.clear();
+    if (it.Field.size() + n <= MaxHeader)
+      it.Field.append(at, n);
+    return 0;
+  }
+  static int onValue(http_parser *parser, const char *at, size_t n) {
+    HttpMessage &it = of(parser);
+    it.InValue = true;
+    bool wanted = !it.WantedHeader.empty() &&
+                  ::strcasecmp(it.Field.c_str(), it.WantedHeader.c_str()) == 0;
+    if (wanted && it.KeptHeader.size() + n <= MaxHeader)
+      it.KeptHeader.append(at, n);
+    return 0;
+  }
   static int onBody(http_parser *parser, const char *at, size_t n) {
     HttpMessage &it = of(parser);
     it.Body.append(at, n);
@@ -60,6 +80,8 @@
     static const http_parser_settings callbacks = [] {
       http_parser_settings it{};
       it.on_url = onUrl;
+      it.on_header_field = onField;
+      it.on_header_value = onValue;
       it.on_body = onBody;
       it.on_message_complete = onComplete;
       return it;
@@ -76,6 +98,9 @@
   Done = false;
   Target.clear();
   Body.clear();
+  KeptHeader.clear();
+  Field.clear();
+  InValue = false;
 }
 
 bool HttpMessage::take(const char *bytes, size_t count) {
@@ -176,6 +201,7 @@
       continue;
     HttpAnswer answer{.Status = In.status(),
                       .Body = std::move(In.body()),
+                      .KeptHeader = In.keptHeader(),
                       .FirstByteAfter = *FirstByteAt - CalledAt,
                       .Took = steadyNow() - CalledAt};
     return finish(std::move(answer));
--- a/lib/edge/Http.h
+++ b/lib/edge/Http.h
@@ -38,6 +38,8 @@
   int Status = 0;
   std::string Body;
   std::string ContentType = "application/json";
+  /// The value of the header that the client keeps; empty where it was absent.
+  std::string KeptHeader;
   /// From the call to the first byte, and to the last; of answers to calls of
   /// ours. What lies between is the time on the way, what comes before it the
   /// server's and the queue in front of it.
@@ -65,6 +67,9 @@
 
   /// Takes bytes. False: they are not HTTP, or too many.
   bool take(const char *bytes, size_t count);
+  /// The value of this header is kept; names are compared without case.
+  void keepHeader(std::string name) { WantedHeader = std::move(name); }
+  const std::string &keptHeader() const { return KeptHeader; }
   bool done() const { return Done; }
   bool keepAlive() const { return KeepAlive; }
   int status() const { return Parser.status_code; }
@@ -82,6 +87,11 @@
   bool KeepAlive = true;
   std::string Target;
   std::string Body;
+  std::string WantedHeader;
+  std::string KeptHeader;
+  /// The name of the header that is being read; it may come in pieces.
+  std::string Field;
+  bool InValue = false;
 };
 
 /// Calls one server, one call at a time, on a connection that is kept.
@@ -98,6 +108,8 @@
 
   /// Starts a call; none may be under way. `done` is called from the loop.
   void call(const HttpCall &call, Handler done);
+  /// Answers carry the value of this header.
+  void keepHeader(std::string name) { In.keepHeader(std::move(name)); }
   bool busy() const { return static_cast<bool>(Done); }
   /// Ends the connection and forgets a call that is under way.
   void close();
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -62,6 +62,12 @@
          "Registry calls without a good answer", news.Failures);
   single(out, "chicory_bad_registry_answers_total", "counter",
          "Answers that can't be read", news.BadAnswers);
+  single(out, "chicory_registry_generations_total", "counter",
+         "Answers that told a later generation of the registry",
+         news.Generations);
+  single(out, "chicory_registry_revisions_behind_total", "counter",
+         "Answers with a revision below that of this instance's copy",
+         news.RevisionsBehind);
   single(out, "chicory_bad_registry_items_total", "counter",
          "Items that can't be read", news.BadItems);
 }
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -29,7 +29,7 @@
               .RetryMost = settings.News.RetryMost,
               .Seed = settings.Core.Seed}),
       Records(loop, log, settings, dialect, Reader.mirror()),
-      Registry(loop, settings.Ip, settings.Registry) {
+      Registry(loop, settings.Ip, settings.Registry, dialect) {
   Reader.setPatience(Spread.patience(), Spread.retryMost());
   Events.watch(Socket.get(), EPOLLIN, [this](uint32_t) { readPushes(); });
 }
@@ -111,8 +111,13 @@
 void NewsDuty::takeAnswer(const HttpClient::Result &result) {
   Time now = steadyNow();
   std::vector<token::Event> news;
-  bool learned = Reader.answered(newsAnswer(result), now, news);
+  Generation before = Reader.generation();
+  int64_t copy = Reader.mirror().revision();
+  NewsAnswer answer = newsAnswer(result, Dialect);
+  bool learned = Reader.answered(answer, now, news);
   tell(std::move(news), InstanceId{}, now);
+  if (Reader.generation() != before)
+    noteGeneration(before, answer.Status, copy);
   if (!result)
     Lines.write(LogLine("registry_call_failed")
                     .with("why", httpFailureName(result.error())));
@@ -126,6 +131,16 @@
   sendPush(true, now);
 }
 
+/// `copy`: the copy's revision before the answer. Where it was above the
+/// registry's, what was read in between is lost there.
+void NewsDuty::noteGeneration(Generation before, int status, int64_t copy) {
+  Lines.write(LogLine("registry_generation")
+                  .with("from", static_cast<int64_t>(before.Value))
+                  .with("to", static_cast<int64_t>(Reader.generation().Value))
+                  .with("status", status)
+                  .with("copy_revision", copy));
+}
+
 void NewsDuty::tell(std::vector<token::Event> news, InstanceId from, Time now) {
   for (token::Event &it : news) {
     if (const auto *drain = std::get_if<token::ZoneDrainLearned>(&it))
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -46,6 +46,7 @@
   /// Takes this instance out of the others' order.
   void leave();
   const NewsStats &stats() const { return Reader.stats(); }
+  const NewsReader &reader() const { return Reader; }
   /// Calls to the registry, of whatever kind.
   RegistryCounts calls() const;
   const PeerStats &peerStats() const { return Traffic; }
@@ -56,6 +57,7 @@
   void noteStart(CallKind kind, const HttpClient::Result &result);
   void learnRecord(Time now);
   void takeAnswer(const HttpClient::Result &result);
+  void noteGeneration(Generation before, int status, int64_t copy);
   void readPushes();
   void takePush(const NewsPush &push, Time now);
   void takeFragment(Fragment fragment, Time now);
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -82,6 +82,7 @@
 bool NewsReader::answered(const NewsAnswer &answer, Time now,
                           std::vector<token::Event> &out) {
   Waiting = false;
+  noteGeneration(answer);
   PageTurn = !AskedForPage;
   if (State == Phase::Starting) {
     takeStart(answer, now, out);
@@ -103,6 +104,7 @@
     failed(answer.Status, now);
     return false;
   }
+  noteRevision(*page);
   Retry = Times.RetryLeast;
   DueAt = now;
   if (AskedForPage)
@@ -111,6 +113,19 @@
   return State == Phase::Watching;
 }
 
+void NewsReader::noteGeneration(const NewsAnswer &answer) {
+  if (!answer.Life || *answer.Life <= Seen)
+    return;
+  Seen = *answer.Life;
+  ++Stats.Generations;
+}
+
+void NewsReader::noteRevision(const ItemPage &page) {
+  ToldRevision = page.Revision;
+  if (page.Revision < Copy.revision())
+    ++Stats.RevisionsBehind;
+}
+
 void NewsReader::takeStart(const NewsAnswer &answer, Time now,
                            std::vector<token::Event> &out) {
   bool absent = answer.Status == HttpNotFound;
--- a/lib/edge/RecordDuty.cpp
+++ b/lib/edge/RecordDuty.cpp
@@ -20,8 +20,8 @@
                                               .Zone = settings.Zone,
                                               .Peers = settings.Peers},
                                              {}),
-      Recorder(dialect), Copy(copy), Directory(dialect),
-      Calls(loop, settings.Ip, settings.Registry) {}
+      Recorder(dialect), Copy(copy), Directory(dialect), Dialect(dialect),
+      Calls(loop, settings.Ip, settings.Registry, dialect) {}
 
 void RecordDuty::run(bool current, Duration patience, Time now) {
   Calls.expire(now);
@@ -56,14 +56,14 @@
 void RecordDuty::announce(RegistryCall call) {
   Calls.call(std::move(call), CallTimeout,
              [this](const HttpClient::Result &it) {
-               Record.answered(newsAnswer(it), steadyNow());
+               Record.answered(newsAnswer(it, Dialect), steadyNow());
              });
 }
 
 void RecordDuty::recordRoutes(RegistryCall call) {
   Calls.call(
       std::move(call), CallTimeout, [this](const HttpClient::Result &it) {
-        NewsAnswer answer = newsAnswer(it);
+        NewsAnswer answer = newsAnswer(it, Dialect);
         Recorder.answered(answer, steadyNow());
         Lines.write(LogLine("routes_recorded").with("status", answer.Status));
       });
@@ -72,7 +72,7 @@
 void RecordDuty::writeDirectory(RegistryCall call) {
   Calls.call(
       std::move(call), CallTimeout, [this](const HttpClient::Result &it) {
-        NewsAnswer answer = newsAnswer(it);
+        NewsAnswer answer = newsAnswer(it, Dialect);
         Directory.answered(answer, steadyNow());
         Lines.write(LogLine("directory_written").with("status", answer.Status));
       });
--- a/lib/edge/RecordDuty.h
+++ b/lib/edge/RecordDuty.h
@@ -56,6 +56,7 @@
   RouteRecorder Recorder;
   const Mirror &Copy;
   DirectoryWriter Directory;
+  const RegistryDialect &Dialect;
   RegistryClient Calls;
   /// Set once the instance leaves, until that is told.
   std::function<void()> LeaveFailed;
--- a/lib/edge/RegistryClient.h
+++ b/lib/edge/RegistryClient.h
@@ -27,8 +27,11 @@
 class RegistryClient {
 public:
   /// Connections come from the IP `from`.
-  RegistryClient(Loop &loop, uint32_t from, Address registry)
-      : Http(loop, from, registry) {}
+  RegistryClient(Loop &loop, uint32_t from, Address registry,
+                 const RegistryDialect &dialect)
+      : Http(loop, from, registry) {
+    Http.keepHeader(dialect.generationHeader());
+  }
 
   void call(RegistryCall call, Duration timeout, HttpClient::Handler done);
   bool busy() const { return Http.busy(); }
@@ -42,10 +45,14 @@
   RegistryCounts Counts;
 };
 
-inline NewsAnswer newsAnswer(const HttpClient::Result &result) {
+/// An answer as the state machines take it.
+inline NewsAnswer newsAnswer(const HttpClient::Result &result,
+                             const RegistryDialect &dialect) {
   if (!result)
     return {};
-  return {.Status = result->Status, .Body = result->Body};
+  return {.Status = result->Status,
+          .Body = result->Body,
+          .Life = dialect.readGeneration(result->KeptHeader)};
 }
 
 } // namespace chicory::edge
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -53,8 +53,15 @@
   CPPUNIT_TEST(passesOnWhatItRead);
   CPPUNIT_TEST(survivesAnyValue);
   CPPUNIT_TEST(writesItsCalls);
+  CPPUNIT_TEST(readsTheGeneration);
   CPPUNIT_TEST_SUITE_END();
 
+  void readsTheGeneration() {
+    expectTrue(Dialect.readGeneration("3") == edge::Generation{3}, "a number");
+    for (const char *text : {"", "x", "-1", "3 ", "99999999999999999999"})
+      expectTrue(!Dialect.readGeneration(text), text);
+  }
+
   static token::Route readRouteOfType(const std::string &type) {
     std::string text = Config;
     text.replace(text.find("\"safe\""), 6, '"' + type + '"');
