--- a/tests/RegistrySamples.h
+++ b/tests/RegistrySamples.h
@@ -17,6 +17,7 @@
 
 inline constexpr Time Start{100s};
 inline constexpr int Ok = 200;
+inline constexpr int Gone = 410;
 
 /// What the registry holds, with its history.
 class Store {
@@ -69,9 +70,25 @@
     return out;
   }
   int64_t revision() const { return Revision; }
+  Generation generation() const { return Life; }
+  /// Replaces all content by that of an older copy, as a restore does: its
+  /// revisions are given out again, and the history is gone.
+  void restore(const Store &copy) {
+    Generation next{Life.Value + 1};
+    *this = copy;
+    Life = next;
+    History.clear();
+    HistoryFrom = Revision;
+  }
+  /// The history behind a revision is there.
+  bool knows(int64_t revision) const {
+    return revision >= HistoryFrom && revision <= Revision;
+  }
 
 private:
   int64_t Revision = 0;
+  Generation Life{1};
+  int64_t HistoryFrom = 0;
   std::map<std::string, Item> Items;
   std::vector<Item> History;
 };
@@ -85,8 +102,7 @@
   return out;
 }
 
-/// The answer to any of the calls that read.
-inline NewsAnswer answerOf(const Store &store, const RegistryCall &call) {
+inline NewsAnswer bodyOf(const Store &store, const RegistryCall &call) {
   platform::StoreDialect dialect;
   std::string target = call.Target.substr(0, call.Target.find("&serializable"));
   std::string rest = target.substr(target.find('=') + 1);
@@ -100,9 +116,18 @@
     return {.Status = Ok, .Body = dialect.writePage(store.list(rest))};
   constexpr std::string_view After = "after=";
   int64_t after = std::stoll(target.substr(target.find(After) + After.size()));
+  if (!store.knows(after))
+    return {.Status = Gone};
   return {.Status = Ok, .Body = dialect.writePage(store.since(after))};
 }
 
+/// The answer to any of the calls that read.
+inline NewsAnswer answerOf(const Store &store, const RegistryCall &call) {
+  NewsAnswer out = bodyOf(store, call);
+  out.Life = store.generation();
+  return out;
+}
+
 /// A reader with a clock, fed from a store.
 struct Reading {
   explicit Reading(NewsTimes times = {}) : Reader(Dialect, times, 1) {}
--- /dev/null
+++ b/tests/RestoreTest.cpp
@@ -0,0 +1,98 @@
+// A registry that is restored from a copy some seconds old.
+
+#include "chicorybank/edge/NewsReader.h"
+
+#include "RegistrySamples.h"
+#include "Story.h"
+
+using namespace story;
+using namespace samples::registry;
+
+namespace {
+
+/// The versions that came into force, oldest first.
+std::vector<uint64_t> versions(Reading &reading) {
+  std::vector<uint64_t> out;
+  for (const auto &it : reading.take<token::RoutesLearned>())
+    out.push_back(it.Routes.Version.Value);
+  return out;
+}
+
+/// A reader that knows what the store holds, with a copy of the store from
+/// before the last writes.
+struct BeforeARestore {
+  BeforeARestore() {
+    Content.config(20);
+    Content.server(1);
+    Content.server(2);
+    Reader.step(Content);
+    Copy = Content;
+    for (int n = 0; n < 20; ++n)
+      Content.instance("10.9.0." + std::to_string(n + 1));
+    Content.config(22);
+    pass(500ms);
+    Reader.Events.clear();
+  }
+  /// Time passes, and the reader makes its calls.
+  void pass(Duration time) {
+    for (Duration done{}; done < time; done += 50ms) {
+      Reader.Now += 50ms;
+      while (!Reader.step(Content).empty())
+        ;
+    }
+  }
+
+  Store Content;
+  Store Copy;
+  Reading Reader;
+};
+
+} // namespace
+
+class RestoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RestoreTest);
+  CPPUNIT_TEST(takesAVersionUnderAReusedRevision);
+  CPPUNIT_TEST(takesADrainUnderAReusedRevision);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Symptom: a configuration is acknowledged, and no instance has it in force
+  // seconds later; later ones are taken at once.
+  // Sequence: the registry is away for a moment; from then on the instance that
+  // watches gets 410 for each watch.
+  void takesAVersionUnderAReusedRevision() {
+    BeforeARestore it;
+    it.Content.restore(it.Copy);
+    it.Content.config(24);
+    it.pass(1s);
+    expectTrue(versions(it.Reader) == std::vector<uint64_t>{24},
+               "version 24 is in force within a second");
+    section("and so is the next one", [&] {
+      it.Content.config(27);
+      it.pass(1s);
+      expectTrue(versions(it.Reader) == std::vector<uint64_t>{27},
+                 "version 27");
+    });
+  }
+
+  // Symptom: a server says that it drains, and gets new flows until its
+  // registration ends.
+  // Sequence: as above; the drain is written between the last list that
+  // followed a 410 and the first watch that is answered again.
+  void takesADrainUnderAReusedRevision() {
+    BeforeARestore it;
+    it.Content.restore(it.Copy);
+    it.pass(1s);
+    it.Reader.Events.clear();
+    it.Content.server(1, "draining");
+    while (it.Content.revision() < it.Reader.Reader.mirror().revision())
+      it.Content.server(2, "ready", static_cast<int>(it.Content.revision()));
+    it.pass(1s);
+    bool drains = false;
+    for (const auto &news : it.Reader.take<token::BackendsLearned>())
+      for (const token::Registration &server : news.Present)
+        drains = drains || server.Draining;
+    expectTrue(drains, "the drain is known within a second");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RestoreTest);
