Model of a deployment before a registry that is restored (simulated time)

Readers, spread, announcers and writers are the product's own; restores meet old reads, cuts, pauses, restarts, drains and dropped history in drawn order. Checked all along: versions in force in time, drains heard of, no living server ended, no lease of another instance renewed; in the end copies and records agree.

--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -3,6 +3,7 @@
 #include "chicorybank/edge/NewsReader.h"
 
 #include "RegistrySamples.h"
+#include "RestoreModel.h"
 #include "Story.h"
 
 using namespace story;
@@ -53,8 +54,60 @@
   CPPUNIT_TEST_SUITE(RestoreTest);
   CPPUNIT_TEST(takesAVersionUnderAReusedRevision);
   CPPUNIT_TEST(takesADrainUnderAReusedRevision);
+  CPPUNIT_TEST(keepsItsPromisesThroughAnyTrouble);
   CPPUNIT_TEST_SUITE_END();
 
+  /// One thing that happens, by number.
+  static void happen(RestoreModel &model, int what, Duration time) {
+    switch (what) {
+    case 0:
+    case 1:
+      return model.restore(static_cast<size_t>(time / RestoreModel::Step));
+    case 2:
+      return model.cutFromRegistry(time);
+    case 3:
+      return model.cutFromOthers(time);
+    case 4:
+      return model.freeze(time);
+    case 5:
+      return model.restart();
+    case 6:
+      return model.dropHistory();
+    case 7:
+      return model.addServer();
+    case 8:
+      return model.drainServer();
+    case 9:
+      return model.endServer();
+    case 10:
+      return model.drainZone(true);
+    case 11:
+      return model.drainZone(false);
+    default:
+      return model.setConfig();
+    }
+  }
+
+  // Whatever the order of restores, old reads, cuts, pauses and restarts: a
+  // version in force never goes back and is in force in time, a drain is heard
+  // of, no server that lives is ended, and in the end all copies and records
+  // are what they should be.
+  void keepsItsPromisesThroughAnyTrouble() {
+    property("restores among other trouble", [] {
+      RestoreModel model({.Seed = *rc::gen::arbitrary<uint64_t>()});
+      model.run(3s);
+      auto steps =
+          *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16));
+      for (int it : steps) {
+        happen(model, it, *rc::gen::inRange(1, 60) * RestoreModel::Step);
+        model.run(*rc::gen::inRange(1, 30) * RestoreModel::Step);
+      }
+      model.run(30s);
+      RC_ASSERT(model.broken() == "");
+      RC_ASSERT(model.unsettled() == "");
+    });
+  }
+
   // Symptom: a configuration is acknowledged, and no instance has it in force
   // seconds later; later ones are taken at once.
   // Sequence: the registry is away for a moment and comes back from a copy;
