An old read proves nothing until something current agrees with it

What a caller would see: a process that starts within seconds of a restore takes a server that drains for ready, and its neighbours with it. Cause: the start's list is read from a copy that may be from before the restore, though its answer tells the new generation; a watch behind its revision is answered, since that revision has been given out again. Found by the model with reads from before a restore. Change: what such a list told is passed on, and counts as current, only after a current list or a push with its very checksum; whoever would have watched lists instead, which costs the same call. Two tests asserted the watch; they now ask for the list, and that nobody is told before it.

--- a/include/chicorybank/edge/Announcer.h
+++ b/include/chicorybank/edge/Announcer.h
@@ -69,6 +69,8 @@
   /// How the record is looked up.
   Freshness LookUp = Freshness::MayBeOld;
   int64_t Lease = 0;
+  /// The generation that gave out the lease, where it is known.
+  std::optional<Generation> LeaseLife;
   Time DueAt;
   Time WrittenAt;
 };
--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -14,8 +14,9 @@
 //   hold up the news of all instances for seconds;
 // - a connection that went silent ends by its time limit;
 // - the first list may be old, where a directory was there to start with: it
-//   costs a tenth, and shows nothing. A watch, or a push by whoever watches,
-//   has to follow before the news counts as current;
+//   costs a tenth, and shows nothing. A current list, or a push with the same
+//   checksum, has to follow before the news counts as current and is passed
+//   on;
 // - the registry may be restored from an older copy (`Position.h`). Its answers
 //   tell the generation. What they tell in a later one than the copy's is taken
 //   from a whole list alone, whose pages are all of one generation. A list that
@@ -127,6 +128,8 @@
   /// have to be read from the sender.
   bool takePush(const NewsPush &push, bool late, Time now,
                 std::vector<token::Event> &out);
+  /// What is known may be passed on to other instances.
+  bool mayPassOn() const { return !Unproven; }
   /// What was read from another instance.
   void takePull(const ItemPage &page, bool whole, Time now,
                 std::vector<token::Event> &out);
@@ -207,9 +210,6 @@
   /// The list shows that the copy is of another history than the registry's.
   bool contradicts(const ItemPage &list) const;
   void rebase(ItemPage &list, Time now);
-  /// A push of less than an old read told. One of them is not of the registry's
-  /// present history, and whoever pushes has asked since.
-  bool belies(const NewsPush &push) const;
   /// Takes everything as of a position, and notices a restore.
   void takeWhole(const ItemPage &page, Time now,
                  std::vector<token::Event> &out);
@@ -257,7 +257,9 @@
   std::optional<Generation> Told;
   /// Answers have a header that tells it.
   bool HeaderTold = false;
-  /// The copy is from a read that may be old, and nothing newer agreed yet.
+  /// The copy is from a read that may be old, even from before a restore, and
+  /// nothing current agreed with it yet. A watch behind it could not tell: its
+  /// revision may have been given out again.
   bool Unproven = false;
   Position ToldPosition;
   /// When the copy took on its generation, where an earlier one was known.
--- a/lib/edge/Announcer.cpp
+++ b/lib/edge/Announcer.cpp
@@ -10,8 +10,10 @@
   if (Waiting || now < DueAt)
     return std::nullopt;
   Waiting = true;
-  if (std::exchange(LookAgain, false) && State != Phase::Leasing) {
-    State = Phase::Looking;
+  if (std::exchange(LookAgain, false)) {
+    // A record whose write was not answered may stand under another's lease.
+    bool written = State == Phase::Renewing || State == Phase::Looking;
+    State = written ? Phase::Looking : Phase::Leasing;
     // What is old may be from before the restore.
     LookUp = Freshness::Current;
   }
@@ -52,11 +54,19 @@
     if (!lease)
       return;
     Lease = *lease;
+    LeaseLife = answer.Life;
     State = Phase::Writing;
     DueAt = now;
     return;
   }
   case Phase::Writing:
+    // Written after a restore that had not been noticed: a lease of this
+    // number may have been given to another instance since.
+    if (LeaseLife && answer.Life && *answer.Life != *LeaseLife) {
+      State = Phase::Leasing;
+      DueAt = now;
+      return;
+    }
     State = Phase::Renewing;
     WrittenAt = now;
     break;
@@ -77,6 +87,7 @@
   News news = Dialect.translate(*item, ignored);
   const auto *record = std::get_if<PeerRecord>(&news);
   Lease = item->Lease;
+  LeaseLife = answer.Life;
   State = record && *record == Self ? Phase::Renewing : Phase::Writing;
 }
 
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -292,6 +292,8 @@
 }
 
 void NewsDuty::sendPush(bool asked, Time now) {
+  if (!Reader.mayPassOn())
+    return;
   std::vector<Address> targets = Spread.targets(asked);
   NewsPush push = Reader.push(InstanceId{Settings.Ip}, PushedTo, now);
   PushedTo = Reader.mirror().position();
@@ -350,7 +352,7 @@
 }
 
 bool NewsDuty::mayRemind() const {
-  return Settings.Core.Use.Reminders && Reader.knowsAll();
+  return Settings.Core.Use.Reminders && Reader.knowsAll() && Reader.mayPassOn();
 }
 
 void NewsDuty::pullSeed(InstanceId from) {
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -48,6 +48,8 @@
 std::optional<NewsCall> NewsReader::next(Time now) {
   if (now < nextAt())
     return std::nullopt;
+  if (State == Phase::Watching && Unproven)
+    startList(now);
   Waiting = true;
   AskedForPage = pageIsNext();
   AskNow = false;
@@ -313,7 +315,6 @@
     startList(now);
     return;
   }
-  Unproven = false;
   // The registry answers without changes when the wait is over, not before;
   // with changes it may have answered at once.
   showCurrent(silent ? std::min(SentAt + Times.Pace, now) : SentAt, out);
@@ -341,14 +342,11 @@
     ++Stats.OtherGenerations;
     return behind;
   }
-  if (!late && belies(push)) {
-    if (!Waiting && State == Phase::Watching)
-      startList(std::max(DueAt, now));
-    return false;
-  }
   if (behind)
     tell(Copy.apply(push.Page, Faults), out);
-  if (!late)
+  bool agrees = push.Page.At == Copy.position() && push.Digest == Copy.digest();
+  Unproven = Unproven && !agrees;
+  if (!late && !Unproven)
     showCurrent(now - push.Age, out);
   if (!late && settles(push))
     State = Phase::Watching;
@@ -360,11 +358,6 @@
   return false;
 }
 
-bool NewsReader::belies(const NewsPush &push) const {
-  return Unproven && push.Age < Times.AwayAfter &&
-         push.Page.At < Copy.position();
-}
-
 /// A list is due since this copy may have missed a change, and the push is by
 /// someone who has asked the registry since and has the same copy: there was
 /// none. Otherwise hundreds would list at once when the registry is back from
@@ -380,11 +373,12 @@
                           std::vector<token::Event> &out) {
   ++Stats.Pulls;
   Stats.WholePulls += whole ? 1 : 0;
-  Unproven = false;
-  if (whole)
+  if (whole) {
+    Unproven = false;
     takeWhole(page, now, out);
-  else
+  } else {
     tell(Copy.apply(page, Faults), out);
+  }
 }
 
 void NewsReader::takeSeed(const ItemPage &page,
--- a/tests/AnnouncerTest.cpp
+++ b/tests/AnnouncerTest.cpp
@@ -58,8 +58,54 @@
   CPPUNIT_TEST(takesOverTheRecordOfAFormerProcess);
   CPPUNIT_TEST(writesTheRecordOfAFormerProcessThatLeft);
   CPPUNIT_TEST(beginsAnewAfterAnOldRecord);
+  CPPUNIT_TEST(looksItsLeaseUpAfterARestore);
+  CPPUNIT_TEST(givesUpALeaseThatARestoreMayHaveGivenToAnother);
   CPPUNIT_TEST_SUITE_END();
 
+  void looksItsLeaseUpAfterARestore() {
+    Announcing it;
+    it.announce();
+    it.Record.registryRestored();
+    expectEqual<std::string>("", it.step(Ok));
+    it.Now += AnnouncerTimes{}.RenewEvery;
+    section("with its next renewal, by a read that is not old", [&] {
+      expectEqual<std::string>("/-/kv-key?key=chicorybank/instances/0.0.0.1",
+                               it.step(Ok, record(false)));
+      expectEqual<std::string>("/-/kv-keep/9", it.step(Ok));
+    });
+    section("a record that is lost is written anew", [&] {
+      it.Record.registryRestored();
+      it.Now += AnnouncerTimes{}.RenewEvery;
+      it.step(404);
+      expectEqual<std::string>("/-/kv-lease", it.step(Ok, R"({"lease":6})"));
+      expectEqual<std::string>("/-/kv-txn", it.step(Ok));
+    });
+    section("and one that leaves meanwhile sends no lease", [&] {
+      it.Record.registryRestored();
+      expectTrue(!it.Record.end(), "it may be another's");
+    });
+  }
+
+  // Symptom: an instance renews the lease of another one, for good.
+  // Sequence: it creates a lease; the registry is restored from before that and
+  // gives the same number to another instance; the first one writes its record
+  // under it, and finds it there when it looks.
+  // Cause: a lease known by its number alone.
+  void givesUpALeaseThatARestoreMayHaveGivenToAnother() {
+    Announcing it;
+    it.fresh();
+    auto answer = [&](uint64_t life, const std::string &body) {
+      auto call = it.Record.next(it.Now);
+      it.Record.answered({.Status = Ok, .Body = body, .Life = Generation{life}},
+                         it.Now);
+      return call ? call->Target : std::string();
+    };
+    expectEqual<std::string>("/-/kv-lease", answer(1, R"({"lease":5})"));
+    expectEqual<std::string>("/-/kv-txn", answer(2, "{}"));
+    it.Record.registryRestored();
+    expectEqual<std::string>("/-/kv-lease", answer(2, R"({"lease":6})"));
+  }
+
   void leasesWritesAndRenews() {
     Announcing it;
     it.fresh();
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -513,12 +513,13 @@
     auto routes = reading.take<token::RoutesLearned>();
     expectTrue(routes.size() == 1 && routes[0].Routes.Version == RuleVersion{4},
                "the configuration does not go back");
-    section("the watch goes on from the old revision", [&] {
-      expectEqual<std::string>(
-          "/-/kv-watch?prefix=&after=" + std::to_string(old.revision()) +
-              "&wait_ms=500",
-          reading.stepOnce(store));
+    // A watch would prove nothing: the old revision may be from before a
+    // restore, and given out again.
+    section("a list that is current follows", [&] {
+      expectTrue(!reading.Reader.mayPassOn(), "nobody is told until then");
+      expectEqual<std::string>("/-/kv-range?prefix=", reading.stepOnce(store));
       expectTrue(reading.take<token::NewsChecked>().size() == 1, "current");
+      expectTrue(reading.Reader.mayPassOn(), "and others may be told");
     });
   }
 
@@ -534,8 +535,7 @@
     reading.Now += 1400ms;
     expectEqual<std::string>("", reading.stepOnce(store));
     reading.Now += 100ms;
-    expectTrue(reading.stepOnce(store).starts_with("/-/kv-watch"),
-               "nobody told");
+    expectEqual<std::string>("/-/kv-range?prefix=", reading.stepOnce(store));
   }
 
   // Symptom: packets go to a server that ended before a start, for good.
--- a/tests/RestoreModel.h
+++ b/tests/RestoreModel.h
@@ -92,6 +92,7 @@
     Registry.restore(Past[Past.size() - 1 - n]);
     Past.clear();
     Past.push_back(Registry);
+    Replica.push_back(Registry);
     ++Restores;
     ReorderAt = Now + Step * static_cast<int64_t>(draw(20));
   }
@@ -241,9 +242,8 @@
     for (auto &it : Instances)
       if (Now >= it->FrozenUntil)
         act(*it);
-    Past.push_back(Registry);
-    if (Past.size() > MostPast)
-      Past.pop_front();
+    remember(Past);
+    remember(Replica);
     check();
     if (Now >= SecondUntil) {
       SecondUntil = Now + 1s;
@@ -251,6 +251,12 @@
     }
   }
 
+  void remember(std::deque<Store> &past) {
+    past.push_back(Registry);
+    if (past.size() > MostPast)
+      past.pop_front();
+  }
+
   void world() {
     for (auto &[id, server] : Servers)
       if (Now - server.WrittenAt >= Heartbeat)
@@ -296,7 +302,7 @@
       return {};
     // A read from a copy has the header of the registry as it is.
     if (call.Target.find("serializable") != std::string::npos) {
-      NewsAnswer out = answerOf(Past[draw(Past.size())], call);
+      NewsAnswer out = answerOf(Replica[draw(Replica.size())], call);
       out.Life = Registry.generation();
       return out;
     }
@@ -395,12 +401,15 @@
     }
     for (token::BackendId id : news.Ended)
       if (auto server = Servers.find(numberOf(id));
-          server != Servers.end() && Now - server->second.Since > Settle)
+          server != Servers.end() && Now - server->second.Since > Settle &&
+          Now - it.Since > Settle)
         fail(it.Name +
              " ends a server that lives: " + std::to_string(id.Value));
   }
 
   void push(Instance &from, bool asked) {
+    if (!from.Reader.mayPassOn())
+      return;
     if (from.PushedTo == Position{})
       from.PushedTo = from.Reader.mirror().position();
     NewsPush push = from.Reader.push(from.Id, from.PushedTo, Now);
@@ -465,7 +474,10 @@
   Time ReorderAt;
   Time SecondUntil = Start;
   Store Registry;
+  /// What a restore may bring back.
   std::deque<Store> Past{Registry};
+  /// What reads that may be old see, also from before a restore.
+  std::deque<Store> Replica{Registry};
   std::map<uint64_t, Server> Servers;
   /// Servers that ended, and since when the registry has them again.
   std::map<uint64_t, Time> Ghosts;
--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(takesAVersionUnderAReusedRevision);
   CPPUNIT_TEST(takesADrainUnderAReusedRevision);
   CPPUNIT_TEST(keepsItsPromisesThroughAnyTrouble);
+  CPPUNIT_TEST(keepsThemWhereItOnceFailed);
   CPPUNIT_TEST_SUITE_END();
 
   /// One thing that happens, by number.
@@ -108,6 +109,29 @@
     });
   }
 
+  // Guards against renewing a lease that a restore gave to another instance.
+  void keepsThemWhereItOnceFailed() {
+    struct Happening {
+      int What;
+      int ForSteps;
+      int ThenSteps;
+    };
+    constexpr Happening Played[] = {
+        {6, 1, 1},   {0, 1, 3}, {6, 1, 7},  {6, 1, 14}, {0, 1, 10},  {6, 1, 9},
+        {0, 12, 11}, {0, 1, 1}, {5, 1, 14}, {2, 9, 8},  {2, 18, 12}, {0, 1, 7},
+        {0, 1, 14},  {0, 1, 8}, {0, 1, 11}, {0, 7, 8},  {6, 1, 11},  {0, 1, 3},
+        {6, 1, 14},  {6, 1, 5}, {6, 1, 6},  {2, 1, 1},  {2, 1, 10},  {0, 1, 1}};
+    RestoreModel model({.Seed = 97002485518});
+    model.run(3s);
+    for (const Happening &it : Played) {
+      happen(model, it.What, it.ForSteps * RestoreModel::Step);
+      model.run(it.ThenSteps * RestoreModel::Step);
+    }
+    model.run(30s);
+    expectEqual<std::string>("", model.broken());
+    expectEqual<std::string>("", model.unsettled());
+  }
+
   // Symptom: a configuration is acknowledged, and no instance has it in force
   // seconds later; later ones are taken at once.
   // Sequence: the registry is away for a moment and comes back from a copy;
