An old read says as much of a registration's age as any other; the soak restores its store

Cause: items of old reads were demoted by their generation, which also orders registrations at one address; a directory's entry of a dead server counted as newer than the listed one that had taken its address. Change: they are demoted by their revision alone. Test failed before: NewsReaderTest::knowsTheNewerOfTwoServersAtOneAddress.

--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -61,7 +61,7 @@
   /// otherwise is newer.
   void yieldToAll() {
     for (Item &it : Items)
-      it.At.Life = {};
+      it.At.Revision = 0;
   }
 };
 
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -260,7 +260,9 @@
   for (auto &[key, entry] : Items) {
     if (present.contains(key) || entry.What.At > page.At || entry.Held)
       continue;
-    if (entry.What.At.Life < page.At.Life && mayBeHeld(entry.Meaning))
+    bool otherHistory =
+        entry.What.At.Life < page.At.Life || entry.What.At.Revision == 0;
+    if (otherHistory && mayBeHeld(entry.Meaning))
       hold(entry);
     else
       ended.push_back({.Key = key, .At = page.At, .Deleted = true});
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(listsAtOnceWithoutADirectory);
   CPPUNIT_TEST(takesAnOldListForNoProof);
   CPPUNIT_TEST(waitsForNewsAfterAnOldList);
+  CPPUNIT_TEST(knowsTheNewerOfTwoServersAtOneAddress);
   CPPUNIT_TEST(endsWhatOnlyTheDirectoryNamed);
   CPPUNIT_TEST(startsAllTheSameWithABadDirectory);
   CPPUNIT_TEST(adoptsARevisionAtWhichNothingDiffers);
@@ -523,6 +524,29 @@
     });
   }
 
+  // Symptom: an instance that has just started resets flows of a server that
+  // lives.
+  // Sequence: a server takes over the address of one that has ended; the
+  // directory still names the former, the first list has the latter.
+  // Cause: an old read that says less of a registration's age than another.
+  void knowsTheNewerOfTwoServersAtOneAddress() {
+    Store store = withDirectory();
+    store.remove("servers/i-2");
+    std::string successor =
+        R"({"service":"records","address":"10.0.0.2:80","zone":"a","slots":2,)"
+        R"("state":"ready","sequence":1})";
+    store.put("servers/i-9", successor);
+    Reading reading;
+    reading.start(store);
+    reading.Now += 1s;
+    reading.stepOnce(store);
+    std::map<uint64_t, token::RegistrationOrder> orders;
+    for (const auto &news : reading.take<token::BackendsLearned>())
+      for (const token::Registration &it : news.Present)
+        orders[it.Id.Value] = it.Order;
+    expectTrue(orders[2] < orders[9], "the successor is newer");
+  }
+
   // Pattern: each of 735 starts in a day asked for changes right after its
   // list. Grounds: whoever watches tells all within a pace.
   void waitsForNewsAfterAnOldList() {
--- a/tools/soaklib/faults.py
+++ b/tools/soaklib/faults.py
@@ -163,6 +163,37 @@
         await asyncio.sleep(draw.uniform(0.1, 2))
 
 
+async def restore_store(world, draw):
+    """The store is away for a moment and comes back from an older copy. Whoever wrote there writes again."""
+    seconds = draw.uniform(0.3, 2)
+    world.disturb(seconds + 2)
+    world.store.trouble = "down"
+    await asyncio.sleep(seconds)
+    world.store.restore(draw.uniform(0.2, 5))
+    world.store.trouble = None
+    await asyncio.sleep(draw.uniform(0, 0.5))
+    world.write_orders_again()
+    for it in world.backends:
+        if it.alive:
+            await asyncio.sleep(1.0 / len(world.backends))
+            it.register()
+    # A server that had left is back in the copy until its registration lapses.
+    await asyncio.sleep(2.0)
+    for it in world.backends:
+        if not it.alive:
+            world.store.remove(it.key)
+
+
+async def restore_stores(world, seconds):
+    """Beside everything else, with draws of its own."""
+    draw = random.Random(world.seed)
+    end = time.monotonic() + seconds
+    while world.restores and time.monotonic() < end:
+        await asyncio.sleep(draw.uniform(1, 5))
+        world.checks.count("restore_store")
+        await restore_store(world, draw)
+
+
 PLANNED = (stop_planned, reload, release, routes)
 FAULTS = (kill, pause, crash, store_trouble, store_slow, store_loses, store_forgets, connection, slow, peers)
 
@@ -171,7 +202,7 @@
     """Starts one thing after another; they overlap."""
     end = time.monotonic() + seconds
     kinds = PLANNED if world.planned_only else PLANNED + FAULTS + FAULTS
-    running = {asyncio.ensure_future(drain_zones(world, seconds))}
+    running = {asyncio.ensure_future(it(world, seconds)) for it in (drain_zones, restore_stores)}
     while time.monotonic() < end:
         kind = world.random.choice(kinds)
         world.checks.count(kind.__name__)
--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -118,10 +118,15 @@
     # One seed in three has servers in two zones, and the operators drain one now and then.
     DRAINS_EVERY = 3
 
+    # One seed in four has a store that is restored from an older copy now and then.
+    RESTORES_EVERY = 4
+
     def __init__(self, edge, folder, seed, instances):
+        self.restores = seed % self.RESTORES_EVERY == 0
         self.drains_zones = seed % self.DRAINS_EVERY == 1
         self.zones = ("a", "b") if self.drains_zones else ("a",)
         self.drained = {}
+        self.seed = seed
         self.edge, self.folder = edge, pathlib.Path(folder)
         self.random = random.Random(seed)
         self.checks = ends.Checks()
@@ -204,12 +209,15 @@
             self.ever.setdefault(route, set()).add(service)
             self.dropped.pop(route, None)
         self.version += self.random.randint(1, 9)
-        rows = [{"name": f"r{p}", "host": ROUTE_IP, "prefix": f"/{p}/", "type": "safe", "service": s} for (_, p), s in self.routes.items()]
-        at = self.store.put("op/config", json.dumps({"version": self.version, "routes": rows, "services": [], "limits": {"idle_timeout_ms": 15000}}))
+        at = self.write_config()
         if service is None:
             self.dropped[route] = at
         return route
 
+    def write_config(self):
+        rows = [{"name": f"r{p}", "host": ROUTE_IP, "prefix": f"/{p}/", "type": "safe", "service": s} for (_, p), s in self.routes.items()]
+        return self.store.put("op/config", json.dumps({"version": self.version, "routes": rows, "services": [], "limits": {"idle_timeout_ms": 15000}}))
+
     def drain_zone(self, zone):
         self.drained[zone] = self.store.put(f"op/evacuate/{zone}", "{}")
 
@@ -217,6 +225,15 @@
         self.drained.pop(zone, None)
         self.store.remove(f"op/evacuate/{zone}")
 
+    def write_orders_again(self):
+        """What the operators wrote may be lost in a restored store, and what they took back may be there again."""
+        self.write_config()
+        for zone in self.zones:
+            if zone in self.drained:
+                self.store.put(f"op/evacuate/{zone}", "{}")
+            else:
+                self.store.remove(f"op/evacuate/{zone}")
+
     async def add_backend(self, service, address=None):
         self.next_id += 1 + self.random.randrange(1 << 32)
         ip, port = address or (f"127.3.{len(self.backends) // 200}.{len(self.backends) % 200 + 1}", self.server_port)
--- a/tools/soaklib/store.py
+++ b/tools/soaklib/store.py
@@ -2,13 +2,21 @@
 
 import asyncio
 import base64
+import collections
 import json
 import time
 import urllib.parse
 
 
 class Store:
+    # A restore brings back one of so many copies, made this far apart at least.
+    BACKUPS = 30
+    BACKUP_SECONDS = 0.2
+
     def __init__(self):
+        # Counts restores; told in each answer.
+        self.era = 1
+        self.backups = collections.deque(maxlen=self.BACKUPS)
         self.revision = 0
         self.items = {}
         self.history = []
@@ -45,6 +53,20 @@
         del self.items[key]
         self._note({"key": key, "revision": self.revision, "deleted": True})
 
+    def _back_up(self):
+        now = time.monotonic()
+        if not self.backups or now - self.backups[-1][0] >= self.BACKUP_SECONDS:
+            self.backups.append((now, dict(self.items), self.revision, dict(self.leases)))
+
+    def restore(self, age):
+        """Comes back from a copy that is so old: what was written since is lost, its revisions are given out again."""
+        usable = [it for it in self.backups if time.monotonic() - it[0] >= age] or [self.backups[0]]
+        _, items, self.revision, leases = usable[-1]
+        self.items, self.leases = dict(items), dict(leases)
+        self.era += 1
+        self.backups.clear()
+        self.forget()
+
     def forget(self):
         """Drops the history and cuts the watches."""
         self.history.clear()
@@ -52,6 +74,7 @@
         self._wake()
 
     def _note(self, event):
+        self._back_up()
         self.history.append(event)
         self._wake()
 
@@ -111,7 +134,7 @@
         after = int(query["after"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if after < self.forgotten:
+            if after < self.forgotten or after > self.revision:
                 return 410, {}
             events = [it for it in self.history if it["revision"] > after]
             left = end - time.monotonic()
@@ -190,7 +213,7 @@
         if method != "GET" and self.random and self.random.random() < self.lose:
             return False
         text = json.dumps(answer).encode()
-        writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+        writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n" % (status, self.era, len(text)) + text)
         await writer.drain()
         return True
 
