Held orders end soon after the operators have written again

Cause: a drain that was taken back while the store was away is not in the copy, so its end leaves no trace, and it was held for 15 s while the operators drained the other zone. Change: orders are held for 6 s, or until 2 s after the operators have written anything in the new generation; instance records for 6 s, servers for 3 s. Test failed before: RestoreTest::holdsADrainUntilTheOperatorsHaveWritten.

--- a/include/chicorybank/edge/Mirror.h
+++ b/include/chicorybank/edge/Mirror.h
@@ -29,7 +29,7 @@
 /// Which of the items that a restored registry lacks. Servers write theirs
 /// again within a few heartbeats, instances with their next renewal, operators
 /// when they get to it.
-enum class HeldItems : uint8_t { Registrations, Others };
+enum class HeldItems : uint8_t { Registrations, Instances, Orders };
 
 /// The copy.
 class Mirror {
--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -65,8 +65,13 @@
   /// list on, until whoever wrote it has written it again. Servers write each
   /// second or so.
   Duration RegistrationsHeldFor = std::chrono::seconds(3);
-  /// Instances write with their next renewal, operators by then at the latest.
-  Duration OthersHeldFor = std::chrono::seconds(15);
+  /// Instances write with their next renewal.
+  Duration InstancesHeldFor = std::chrono::seconds(6);
+  /// Operators write by then at the latest. Once they have written anything,
+  /// the rest follows soon: a drain that they took back across the restore has
+  /// nothing that would tell of its end.
+  Duration OrdersHeldFor = std::chrono::seconds(6);
+  Duration OrdersFollowWithin = std::chrono::seconds(2);
 };
 
 /// Counters of a news reader.
@@ -213,7 +218,8 @@
   /// Takes everything as of a position, and notices a restore.
   void takeWhole(const ItemPage &page, Time now,
                  std::vector<token::Event> &out);
-  void endHeld(HeldItems kind, std::vector<token::Event> &out);
+  /// Ends what is held and was not written again, as of some time.
+  void endHeld(Time at, std::vector<token::Event> &out);
 
   NewsTimes Times;
   const RegistryDialect &Dialect;
@@ -264,6 +270,9 @@
   Position ToldPosition;
   /// When a list last lacked what the copy then held.
   Time HeldSince;
+  Time OrdersHeldUntil;
+  /// The operators have written since.
+  bool OrdersTold = false;
   Findings Faults;
   NewsStats Stats;
 };
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -88,8 +88,15 @@
 /// The configuration is replaced, never removed; it is held for as long as it
 /// takes.
 bool holdEnds(const News &news, HeldItems kind) {
-  return !std::holds_alternative<token::RouteSet>(news) &&
-         isRegistration(news) == (kind == HeldItems::Registrations);
+  switch (kind) {
+  case HeldItems::Registrations:
+    return isRegistration(news);
+  case HeldItems::Instances:
+    return std::holds_alternative<PeerRecord>(news);
+  case HeldItems::Orders:
+    break;
+  }
+  return std::holds_alternative<ZoneDrain>(news);
 }
 
 /// A restored registry may show a server as it was before it began to drain.
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -165,17 +165,30 @@
     ++Stats.Generations;
   size_t heldBefore = Copy.heldCount();
   tell(Copy.replaceAll(page, Faults), out);
-  if (Copy.heldCount() > heldBefore)
+  if (Copy.heldCount() > heldBefore) {
     HeldSince = now;
+    OrdersHeldUntil = now + Times.OrdersHeldFor;
+  }
+  OrdersTold = false;
   // Without a header the neighbours' word for it is all there is.
   if (!HeaderTold && Told)
     Told = Copy.position().Life;
 }
 
-void NewsReader::endHeld(HeldItems kind, std::vector<token::Event> &out) {
-  std::vector<Change> ended = Copy.endHeld(kind, Faults);
-  Stats.HeldEnded += ended.size();
-  tell(std::move(ended), out);
+void NewsReader::endHeld(Time at, std::vector<token::Event> &out) {
+  if (std::exchange(OrdersTold, false))
+    OrdersHeldUntil = std::min(OrdersHeldUntil, at + Times.OrdersFollowWithin);
+  const std::pair<HeldItems, Time> ends[] = {
+      {HeldItems::Registrations, HeldSince + Times.RegistrationsHeldFor},
+      {HeldItems::Instances, HeldSince + Times.InstancesHeldFor},
+      {HeldItems::Orders, OrdersHeldUntil}};
+  for (const auto &[kind, until] : ends) {
+    if (at < until)
+      continue;
+    std::vector<Change> ended = Copy.endHeld(kind, Faults);
+    Stats.HeldEnded += ended.size();
+    tell(std::move(ended), out);
+  }
 }
 
 void NewsReader::takeStart(const NewsAnswer &answer, Time now,
@@ -236,10 +249,8 @@
   if (at <= CurrentAt)
     return;
   CurrentAt = at;
-  if (Copy.heldCount() != 0 && at >= HeldSince + Times.RegistrationsHeldFor)
-    endHeld(HeldItems::Registrations, out);
-  if (Copy.heldCount() != 0 && at >= HeldSince + Times.OthersHeldFor)
-    endHeld(HeldItems::Others, out);
+  if (Copy.heldCount() != 0)
+    endHeld(at, out);
   out.emplace_back(token::NewsChecked{.CurrentAt = at});
 }
 
@@ -407,6 +418,9 @@
                       std::vector<token::Event> &out) {
   token::BackendsLearned servers;
   for (Change &it : changes) {
+    OrdersTold = OrdersTold ||
+                 std::holds_alternative<token::RouteSet>(it.Meaning) ||
+                 std::holds_alternative<ZoneDrain>(it.Meaning);
     if (auto *routes = std::get_if<token::RouteSet>(&it.Meaning)) {
       out.emplace_back(token::RoutesLearned{std::move(*routes)});
     } else if (auto *server = std::get_if<token::Registration>(&it.Meaning)) {
--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST_SUITE(RestoreTest);
   CPPUNIT_TEST(takesAVersionUnderAReusedRevision);
   CPPUNIT_TEST(takesADrainUnderAReusedRevision);
+  CPPUNIT_TEST(holdsADrainUntilTheOperatorsHaveWritten);
   CPPUNIT_TEST(keepsItsPromisesThroughAnyTrouble);
   CPPUNIT_TEST(keepsThemWhereItOnceFailed);
   CPPUNIT_TEST_SUITE_END();
@@ -109,6 +110,28 @@
     });
   }
 
+  // Symptom: all flows are refused for seconds, since all zones are drained.
+  // Sequence: a zone is drained; the store is restored from before that; the
+  // operators take the drain back while the store is away, and drain another.
+  // Cause: the end of an order that a restored store never had leaves no trace.
+  void holdsADrainUntilTheOperatorsHaveWritten() {
+    BeforeARestore it;
+    it.Content.put("op/evacuate/a", "{}");
+    it.pass(1s);
+    it.Reader.Events.clear();
+    it.Content.restore(it.Copy);
+    it.pass(3s);
+    expectTrue(it.Reader.take<token::ZoneDrainLearned>().empty(),
+               "a drain that is lost stands");
+    it.Content.config(22);
+    it.pass(1s);
+    expectTrue(it.Reader.take<token::ZoneDrainLearned>().empty(),
+               "the operators may not have got to it yet");
+    it.pass(2s);
+    auto drains = it.Reader.take<token::ZoneDrainLearned>();
+    expectTrue(drains.size() == 1 && !drains[0].Active, "it was taken back");
+  }
+
   struct Happening {
     int What;
     int ForSteps;
