--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -31,11 +31,13 @@
     Http.Get("/-/kv-range", [this](const auto &call, auto &answer) {
       std::lock_guard lock(Lock);
       ItemPage page = Content.list(call.get_param_value("prefix"));
-      answer.set_content(Dialect.writePage(page), "application/json");
+      tellGeneration(answer);
+      answer.set_content(bareBody(page), "application/json");
     });
     Http.Get("/-/kv-key", [this](const auto &call, auto &answer) {
       std::lock_guard lock(Lock);
       const Item *item = Content.item(call.get_param_value("key"));
+      tellGeneration(answer);
       answer.status = item ? Ok : 404;
       if (item)
         answer.set_content(itemAnswer(*item), "application/json");
@@ -43,8 +45,9 @@
     Http.Get("/-/kv-watch", [this](const auto &call, auto &answer) {
       std::lock_guard lock(Lock);
       int64_t after = std::stoll(call.get_param_value("after"));
-      answer.set_content(Dialect.writePage(Content.since(after)),
-                         "application/json");
+      tellGeneration(answer);
+      answer.status = Content.knows(after) ? Ok : Gone;
+      answer.set_content(bareBody(Content.since(after)), "application/json");
     });
     Http.Post("/-/kv-lease", [](const auto &, auto &answer) {
       answer.set_content(R"({"lease":5,"ttl_ms":8000})", "application/json");
@@ -70,6 +73,12 @@
   int Port = 0;
 
 private:
+  /// The header that says how often the registry was restored.
+  void tellGeneration(httplib::Response &answer) const {
+    answer.set_header(Dialect.generationHeader(),
+                      std::to_string(Content.generation().Value));
+  }
+
   platform::StoreDialect Dialect;
   std::mutex Lock;
   Store Content;
@@ -210,6 +219,29 @@
       }
       expectTrue(inForce, "version 2 within three seconds");
     });
+    section("the registry is restored from before that", [&] {
+      Store copy;
+      registry.change([&](Store &it) {
+        copy = it;
+        for (int n = 0; n < 20; ++n)
+          it.instance("10.9.0." + std::to_string(n + 1));
+      });
+      // Long enough for the instance to read that.
+      std::this_thread::sleep_for(700ms);
+      registry.change([&](Store &it) {
+        it.restore(copy);
+        it.config(3);
+      });
+      httplib::Client client("127.0.0.1", settings.Peers.Port);
+      bool inForce = false;
+      for (int n = 0; n < 150 && !inForce; ++n) {
+        auto metrics = client.Get("/metrics");
+        inForce = metrics && metrics->body.find("chicory_rule_version 3") !=
+                                 std::string::npos;
+        std::this_thread::sleep_for(20ms);
+      }
+      expectTrue(inForce, "what is written then is in force in three seconds");
+    });
     section("others can read its news", [&] {
       httplib::Client client("127.0.0.1", settings.Peers.Port);
       auto whole = client.Get("/news");
