chicoryd: rules that were accepted outlive a restore of the platform's service

Whoever watches puts the newest rules back, or gives rules that hide under a used number the next one, each under a condition. An instance that knows neither changes nothing. Before: no test. The members document has the same weakness and stays open (docs/design).

--- a/lib/daemon/PlatformDuty.cpp
+++ b/lib/daemon/PlatformDuty.cpp
@@ -1,5 +1,6 @@
 #include "PlatformDuty.h"
 
+#include <easylogging++.h>
 #include <random>
 
 namespace chicory {
@@ -110,7 +111,7 @@
   if (!manifest)
     return Counters.refuse(manifest.error());
   if (manifest->Version <= Store.version())
-    return;
+    return repairRules(*manifest, service);
   PageStore pages = Store.pages();
   ++Calls;
   if (!RuleRegistry(service).fetchPages(*manifest, pages))
@@ -122,6 +123,28 @@
     Counters.refuse(Reason::RingFull);
 }
 
+/// Rules that were accepted stay in force, and stay stored, where the platform
+/// was restored from an older copy. What is written here is read again by the
+/// watch; of several watchers the first one's write holds.
+void PlatformDuty::repairRules(const RuleManifest &stored,
+                               KeyValueService &service) {
+  StoredRules state = Store.compare(stored);
+  if (state == StoredRules::Current || !Watching)
+    return;
+  ++Calls;
+  RuleRegistry registry(service);
+  auto done = state == StoredRules::Lost
+                  ? registry.putBack(Store.manifest(), Store.pages())
+                  : registry.renumber(stored, Store.version());
+  if (!done)
+    LOG(WARNING) << "event=rules_not_repaired version=" << stored.Version.Value
+                 << " why=" << platformErrorName(done.error());
+  else if (*done)
+    LOG(INFO) << "event=rules_repaired stored=" << stored.Version.Value
+              << " cause="
+              << (state == StoredRules::Lost ? "lost" : "number_reused");
+}
+
 void PlatformDuty::takeMembers(const QByteArray &value,
                                moodycamel::ReaderWriterQueue<Event> &ring) {
   auto document = decodeMembers(value);
--- a/lib/daemon/PlatformDuty.h
+++ b/lib/daemon/PlatformDuty.h
@@ -41,6 +41,7 @@
   bool watchOnce();
   void take(const KeyValue &change, KeyValueService &service);
   void takeManifest(const QByteArray &value, KeyValueService &service);
+  void repairRules(const RuleManifest &stored, KeyValueService &service);
   void takeMembers(const QByteArray &value,
                    moodycamel::ReaderWriterQueue<Event> &ring);
   void writeNow(const MembersDocument &document);
--- a/lib/daemon/RuleStore.cpp
+++ b/lib/daemon/RuleStore.cpp
@@ -23,6 +23,9 @@
     return CompiledRulesPtr();
   Manifest = manifest;
   Pages = std::move(needed);
+  Submissions[manifest.Version] = manifest.SubmissionId;
+  if (Submissions.size() > VersionsRemembered)
+    Submissions.erase(Submissions.begin());
   return compiled;
 }
 
@@ -31,6 +34,22 @@
   return Manifest.Version;
 }
 
+RuleManifest RuleStore::manifest() const {
+  std::lock_guard lock(Lock);
+  return Manifest;
+}
+
+StoredRules RuleStore::compare(const RuleManifest &stored) const {
+  std::lock_guard lock(Lock);
+  auto it = Submissions.find(stored.Version);
+  if (it == Submissions.end())
+    return StoredRules::Current;
+  if (it->second != stored.SubmissionId)
+    return StoredRules::Reused;
+  return stored.Version < Manifest.Version ? StoredRules::Lost
+                                           : StoredRules::Current;
+}
+
 PageStore RuleStore::pages() const {
   std::lock_guard lock(Lock);
   return Pages;
--- a/lib/store/RuleRegistry.cpp
+++ b/lib/store/RuleRegistry.cpp
@@ -215,6 +215,46 @@
   return Accepted{.Version = rules.Version};
 }
 
+PlatformResult<bool> RuleRegistry::putBack(const RuleManifest &manifest,
+                                           const PageStore &pages) {
+  auto before = current();
+  if (!before)
+    return tl::make_unexpected(before.error());
+  if (before->Manifest && before->Manifest->Version >= manifest.Version)
+    return false;
+  std::vector<KeyValuePut> puts =
+      newPages(pages, before->Manifest.value_or(RuleManifest{}));
+  // Pages have no effect until a manifest names them.
+  while (puts.size() > MaxPagesPerSwap) {
+    if (auto put = Service.put(puts.back()); !put)
+      return tl::make_unexpected(put.error());
+    puts.pop_back();
+  }
+  QByteArray value = encodeManifest(manifest);
+  puts.push_back({.Key = keys::Manifest, .Value = value});
+  puts.push_back({.Key = historyKey(manifest.Version), .Value = value});
+  return Service.swap({.Key = keys::Manifest,
+                       .ExpectedRevision = before->Revision,
+                       .Puts = puts});
+}
+
+PlatformResult<bool> RuleRegistry::renumber(const RuleManifest &current,
+                                            RuleVersion highest) {
+  auto before = this->current();
+  if (!before)
+    return tl::make_unexpected(before.error());
+  if (before->Manifest != current)
+    return false;
+  RuleManifest next = current;
+  next.Version = RuleVersion{highest.Value + 1};
+  QByteArray value = encodeManifest(next);
+  return Service.swap(
+      {.Key = keys::Manifest,
+       .ExpectedRevision = before->Revision,
+       .Puts = {{.Key = keys::Manifest, .Value = value},
+                {.Key = historyKey(next.Version), .Value = value}}});
+}
+
 void RuleRegistry::forgetOld(RuleVersion newest) {
   // Best effort: what is left over is removed after the next submission.
   auto manifests = history();
--- a/tests/RuleRegistryTest.cpp
+++ b/tests/RuleRegistryTest.cpp
@@ -138,8 +138,56 @@
   CPPUNIT_TEST(refusesAnotherBaseVersion);
   CPPUNIT_TEST(forgetsOldVersionsButNoSharedPage);
   CPPUNIT_TEST(codesMembersAndInstances);
+  CPPUNIT_TEST(putsBackWhatARestoreLost);
+  CPPUNIT_TEST(renumbersWhatAReusedNumberHides);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against accepted rules that go back when the service is restored
+  // from an older copy.
+  void putsBackWhatARestoreLost() {
+    FakeService service;
+    RuleRegistry registry(service);
+    registry.submit(submission("one"), {});
+    FakeService copy = service;
+    registry.submit(submission("two", 3), {});
+    RuleManifest held = registry.currentManifest().value().value();
+    PageStore pages;
+    expectTrue(registry.fetchPages(held, pages).has_value(), "the pages");
+    service = copy;
+    expectTrue(registry.putBack(held, pages).value(), "it is put back");
+    expectEqual<std::string>("two", readCurrent(service).SubmissionId);
+    section("once", [&] {
+      expectTrue(!registry.putBack(held, pages).value(), "it stands there");
+    });
+    section("and what follows gets the next number", [&] {
+      expectEqual<uint64_t>(3, versionOf(registry.submit(submission("x"), {})));
+    });
+    section("not over a later submission", [&] {
+      service = copy;
+      service.BeforeSwap = [&] { registry.submit(submission("y"), {}); };
+      expectTrue(!registry.putBack(held, pages).value_or(false),
+                 "another writer was first");
+    });
+  }
+
+  // Guards against accepted rules that never come into force, since their
+  // number was in use before a restore.
+  void renumbersWhatAReusedNumberHides() {
+    FakeService service;
+    RuleRegistry registry(service);
+    registry.submit(submission("one"), {});
+    FakeService copy = service;
+    registry.submit(submission("two"), {});
+    service = copy;
+    expectEqual<uint64_t>(2, versionOf(registry.submit(submission("new"), {})));
+    RuleManifest stored = registry.currentManifest().value().value();
+    expectTrue(registry.renumber(stored, RuleVersion{2}).value(), "done");
+    RuleSet now = readCurrent(service);
+    expectTrue(now.Version == RuleVersion{3} && now.SubmissionId == "new",
+               "the new rules, as version 3");
+    expectTrue(!registry.renumber(stored, RuleVersion{2}).value(), "once");
+  }
+
   void acceptsAndReadsBack() {
     FakeService service;
     RuleRegistry registry(service);
