--- a/standins/platform/Main.cpp
+++ b/standins/platform/Main.cpp
@@ -3,6 +3,7 @@
 // It serves the JSON form of the etcd v3 API that `platform/KeyValue.h` names,
 // limits its rates as the platform does, and has switches for its faults:
 //   POST /control/faults?down=1&slow_ms=N&lose_answers=1&cut=127.0.2.
+//   POST /control/restore?age_ms=N  comes back from a copy that is so old
 //   POST /control/instances   (the true list; readers see it after the lag)
 // It prints "port=N" when it is ready.
 
@@ -210,9 +211,10 @@
     std::string from = decoded(create["key"]);
     std::string end = decoded(create["range_end"]);
     auto seen = std::make_shared<int64_t>(Data.revision());
-    auto provider = [this, request, from, end, seen](size_t,
-                                                     httplib::DataSink &sink) {
-      if (Stopping || unreachable(request))
+    int64_t restores = Data.restores();
+    auto provider = [this, request, from, end, seen,
+                     restores](size_t, httplib::DataSink &sink) {
+      if (Stopping || unreachable(request) || Data.restores() != restores)
         return false;
       QJsonArray events;
       for (const standin::Change &it : Data.changesAfter(*seen, WatchWaitMs)) {
@@ -239,6 +241,10 @@
     Broken.LoseAnswers = request.get_param_value("lose_answers") == "1";
     Broken.Cut = request.get_param_value("cut");
   });
+  Server.Post("/control/restore", [this](const httplib::Request &request,
+                                         httplib::Response & /*response*/) {
+    Data.restore(nowMs(), std::atoi(request.get_param_value("age_ms").c_str()));
+  });
   Server.Post("/control/instances", [this](const httplib::Request &request,
                                            httplib::Response &response) {
     std::lock_guard lock(ListLock);
@@ -258,6 +264,7 @@
   while (!Stopping) {
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     Data.expireLeases(nowMs());
+    Data.keepCopy(nowMs());
     std::optional<QJsonObject> due;
     {
       std::lock_guard lock(ListLock);
--- a/standins/platform/Store.cpp
+++ b/standins/platform/Store.cpp
@@ -108,6 +108,38 @@
   }
 }
 
+void Store::keepCopy(int64_t nowMs) {
+  std::lock_guard lock(Lock);
+  if (!Copies.empty() && nowMs - Copies.back().TakenMs < CopyEveryMs)
+    return;
+  Copies.push_back({.TakenMs = nowMs,
+                    .Revision = Revision,
+                    .Values = Values,
+                    .Leases = Leases});
+  if (Copies.size() > CopiesKept)
+    Copies.pop_front();
+}
+
+void Store::restore(int64_t nowMs, int64_t ageMs) {
+  std::lock_guard lock(Lock);
+  while (Copies.size() > 1 && nowMs - Copies.back().TakenMs < ageMs)
+    Copies.pop_back();
+  if (Copies.empty())
+    return;
+  Revision = Copies.back().Revision;
+  Values = Copies.back().Values;
+  Leases = Copies.back().Leases;
+  Copies.clear();
+  Changes.clear();
+  ++Restores;
+  Changed.notify_all();
+}
+
+int64_t Store::restores() const {
+  std::lock_guard lock(Lock);
+  return Restores;
+}
+
 int64_t Store::revision() const {
   std::lock_guard lock(Lock);
   return Revision;
--- a/standins/platform/Store.h
+++ b/standins/platform/Store.h
@@ -47,6 +47,14 @@
   /// Changes after a revision; waits for one for at most `waitMs`.
   std::vector<Change> changesAfter(int64_t revision, int waitMs);
 
+  /// Keeps a copy that `restore` can bring back; call it a few times a second.
+  void keepCopy(int64_t nowMs);
+  /// Comes back from a copy that is so old. What was written since is lost, its
+  /// revisions are given out again, and watches have to end.
+  void restore(int64_t nowMs, int64_t ageMs);
+  /// How often it was restored.
+  int64_t restores() const;
+
 private:
   struct Lease {
     int64_t Seconds = 0;
@@ -58,12 +66,23 @@
                     int64_t lease);
   int64_t removeLocked(const std::string &from, const std::string &end);
 
+  struct Copy {
+    int64_t TakenMs = 0;
+    int64_t Revision = 0;
+    std::map<std::string, StoredValue> Values;
+    std::map<int64_t, Lease> Leases;
+  };
+  static constexpr size_t CopiesKept = 40;
+  static constexpr int64_t CopyEveryMs = 250;
+
   mutable std::mutex Lock;
   std::condition_variable Changed;
   std::map<std::string, StoredValue> Values;
   std::map<int64_t, Lease> Leases;
   std::deque<Change> Changes;
   int64_t Revision = 1;
+  std::deque<Copy> Copies;
+  int64_t Restores = 0;
 };
 
 } // namespace standin
--- a/tools/demolib/scenarios.py
+++ b/tools/demolib/scenarios.py
@@ -10,7 +10,7 @@
 
 from . import deployment as dep
 
-NAMES = ["none", "rules", "kill", "rolling", "drain", "join", "partition", "platform-outage", "pause", "silent", "shed", "list-lag"]
+NAMES = ["none", "rules", "kill", "rolling", "drain", "join", "partition", "platform-outage", "restore", "pause", "silent", "shed", "list-lag"]
 REWRITE_SECONDS = 1.5
 SETTLE_SECONDS = 4
 SERVICE_MS = 40
@@ -106,6 +106,16 @@
         dep.http("POST", self.world.platform, "/control/faults")
         say("the platform is back")
 
+    def restore(self):
+        """The platform's service is away for a moment and comes back from a copy of some seconds before."""
+        for _ in range(2):
+            time.sleep(self.seconds * 0.3)
+            dep.http("POST", self.world.platform, "/control/faults", down=1)
+            time.sleep(0.5)
+            dep.http("POST", self.world.platform, "/control/restore", age_ms=4000)
+            dep.http("POST", self.world.platform, "/control/faults")
+            say("the platform is back, from a copy four seconds old")
+
     def pause(self):
         time.sleep(self.seconds * 0.25)
         victim = self.pick(2)
