--- a/include/chicorybank/edge/Announcer.h
+++ b/include/chicorybank/edge/Announcer.h
@@ -70,7 +70,7 @@
   Freshness LookUp = Freshness::MayBeOld;
   int64_t Lease = 0;
   /// The generation that gave out the lease, where it is known.
-  std::optional<Generation> LeaseLife;
+  std::optional<Generation> LeaseGeneration;
   Time DueAt;
   Time WrittenAt;
 };
--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -108,7 +108,7 @@
   int Status = 0;
   std::string Body;
   /// The registry's generation; nothing where the answer does not tell it.
-  std::optional<Generation> Life;
+  std::optional<edge::Generation> Generation;
 };
 
 /// The state machine; it does no I/O. One registry call is under way at a time.
@@ -142,7 +142,7 @@
   /// registry is asked for them at once.
   void pullFailed() { AskNow = true; }
   /// An answer to another call than the reader's told this generation.
-  void heard(std::optional<Generation> life, Time now);
+  void heard(std::optional<Generation> generation, Time now);
   /// What another instance knows, read while the registry has not answered
   /// since the start. It serves callers, but nobody knows how old it is.
   void takeSeed(const ItemPage &page, std::vector<token::Event> &out);
@@ -182,7 +182,7 @@
   Position toldPosition() const { return ToldPosition; }
   /// The copy is of the registry's generation. Until then conditions and leases
   /// that were read from it may hold by accident.
-  bool settled() const { return Told == Copy.position().Life; }
+  bool settled() const { return Told == Copy.position().Generation; }
   const NewsStats &stats() const { return Stats; }
 
 private:
--- a/include/chicorybank/edge/Position.h
+++ b/include/chicorybank/edge/Position.h
@@ -5,8 +5,8 @@
 // changes, so that a revision alone says neither what is newer nor what is the
 // same. Each restore begins a new generation.
 //
-//   Position before{.Life = Generation{1}, .Revision = 60};
-//   Position after{.Life = Generation{2}, .Revision = 45};
+//   Position before{.Generation = Generation{1}, .Revision = 60};
+//   Position after{.Generation = Generation{2}, .Revision = 45};
 //   before < after; // true: the later generation decides
 
 #ifndef CHICORYBANK_EDGE_POSITION_H
@@ -30,7 +30,7 @@
 
 /// A revision, and the generation that gave it out.
 struct Position {
-  Generation Life;
+  edge::Generation Generation;
   int64_t Revision = 0;
 
   auto operator<=>(const Position &) const = default;
--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -51,10 +51,10 @@
 
   /// The page and its items were read in this generation. Answers of the
   /// registry hold bare revisions; their header tells the generation.
-  void setGeneration(Generation life) {
-    At.Life = life;
+  void setGeneration(Generation generation) {
+    At.Generation = generation;
     for (Item &it : Items)
-      it.At.Life = life;
+      it.At.Generation = generation;
   }
   /// Its items are from a read that may be old, even from before a restore: one
   /// of them may have a later revision than what holds now. Whatever is read
--- a/include/chicorybank/edge/StartSequence.h
+++ b/include/chicorybank/edge/StartSequence.h
@@ -45,8 +45,9 @@
   /// body says that there is no such key.
   /// Items go to the copy, and what they tell is appended. An error says what
   /// can't be read.
-  tl::expected<void, std::string> take(const std::string &body, Generation life,
-                                       Mirror &copy, Findings &findings,
+  tl::expected<void, std::string> take(const std::string &body,
+                                       Generation generation, Mirror &copy,
+                                       Findings &findings,
                                        std::vector<Change> &out);
 
   /// The servers that the directory named. Those that the first list lacks
@@ -59,8 +60,8 @@
   enum class Step : uint8_t { Directory, Orders, PastRoutes, Done };
 
   tl::expected<void, std::string> takeOrders(const std::string &body,
-                                             Generation life, Mirror &copy,
-                                             Findings &findings,
+                                             Generation generation,
+                                             Mirror &copy, Findings &findings,
                                              std::vector<Change> &out);
   tl::expected<void, std::string> takeDirectory(const std::string &body,
                                                 std::vector<Change> &out);
--- a/lib/edge/Announcer.cpp
+++ b/lib/edge/Announcer.cpp
@@ -54,7 +54,7 @@
     if (!lease)
       return;
     Lease = *lease;
-    LeaseLife = answer.Life;
+    LeaseGeneration = answer.Generation;
     State = Phase::Writing;
     DueAt = now;
     return;
@@ -62,7 +62,8 @@
   case Phase::Writing:
     // Written after a restore that had not been noticed: a lease of this
     // number may have been given to another instance since.
-    if (LeaseLife && answer.Life && *answer.Life != *LeaseLife) {
+    if (LeaseGeneration && answer.Generation &&
+        *answer.Generation != *LeaseGeneration) {
       State = Phase::Leasing;
       DueAt = now;
       return;
@@ -87,7 +88,7 @@
   News news = Dialect.translate(*item, ignored);
   const auto *record = std::get_if<PeerRecord>(&news);
   Lease = item->Lease;
-  LeaseLife = answer.Life;
+  LeaseGeneration = answer.Generation;
   State = record && *record == Self ? Phase::Renewing : Phase::Writing;
 }
 
--- a/lib/edge/ControlDuty.cpp
+++ b/lib/edge/ControlDuty.cpp
@@ -107,8 +107,9 @@
                 static_cast<int64_t>(stats.NewsAgeSeconds * MsPerSecond))
           .with("revision", News.reader().mirror().position().Revision)
           .with("registry_revision", News.reader().toldPosition().Revision)
-          .with("generation", static_cast<int64_t>(
-                                  News.reader().mirror().position().Life.Value))
+          .with("generation",
+                static_cast<int64_t>(
+                    News.reader().mirror().position().Generation.Value))
           .with("servers", static_cast<int64_t>(stats.Servers))
           .with("drained_zones", namesOf(stats.Drained))
           .with("flows", static_cast<int64_t>(stats.Flows))
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -200,7 +200,7 @@
   if (std::holds_alternative<token::RouteSet>(news))
     RoutesKey = item.Key;
   uint64_t digest = digestOf(item, news);
-  if (it->second.What.At.Life < item.At.Life)
+  if (it->second.What.At.Generation < item.At.Generation)
     keepDrain(it->second.Meaning, news);
   // Whoever saw the lapse in between has to hear of the new registration.
   bool same = sameMeaning(it->second.Meaning, news) &&
@@ -229,7 +229,7 @@
 
 std::vector<Change> Mirror::apply(const ItemPage &page, Findings &findings) {
   // Changes of another generation lead nowhere from here.
-  if (page.At.Life != At.Life && At != Position{})
+  if (page.At.Generation != At.Generation && At != Position{})
     return {};
   std::vector<Change> out = preview(page, findings);
   At = std::max(At, page.At);
@@ -252,9 +252,9 @@
 
 std::vector<Change> Mirror::replaceAll(const ItemPage &page,
                                        Findings &findings) {
-  if (page.At.Life < At.Life)
+  if (page.At.Generation < At.Generation)
     return {};
-  bool first = At == Position{} || At.Life < page.At.Life;
+  bool first = At == Position{} || At.Generation < page.At.Generation;
   if (first)
     History.clear();
   std::vector<Change> out;
@@ -267,8 +267,8 @@
   for (auto &[key, entry] : Items) {
     if (present.contains(key) || entry.What.At > page.At || entry.Held)
       continue;
-    bool otherHistory =
-        entry.What.At.Life < page.At.Life || entry.What.At.Revision == 0;
+    bool otherHistory = entry.What.At.Generation < page.At.Generation ||
+                        entry.What.At.Revision == 0;
     if (otherHistory && mayBeHeld(entry.Meaning))
       hold(entry);
     else
@@ -313,7 +313,7 @@
 }
 
 bool Mirror::adopt(Position position, uint64_t digest) {
-  bool comparable = At != Position{} && position.Life == At.Life;
+  bool comparable = At != Position{} && position.Generation == At.Generation;
   if (!comparable || digest != Digest || position < At)
     return false;
   At = position;
@@ -328,8 +328,8 @@
 
 /// Receivers take the items of a page for as new as the page's generation.
 Item Mirror::passedOn(Item item) const {
-  if (item.At.Life != At.Life)
-    item.At = {.Life = At.Life};
+  if (item.At.Generation != At.Generation)
+    item.At = {.Generation = At.Generation};
   return item;
 }
 
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -16,7 +16,7 @@
 
 /// A position in the path of a call between instances: "2.415".
 std::string positionText(Position position) {
-  return std::to_string(position.Life.Value) + '.' +
+  return std::to_string(position.Generation.Value) + '.' +
          std::to_string(position.Revision);
 }
 
@@ -24,11 +24,11 @@
   size_t dot = text.find('.');
   if (dot == std::string_view::npos)
     return std::nullopt;
-  auto life = parseNumber(text.substr(0, dot));
+  auto generation = parseNumber(text.substr(0, dot));
   auto revision = parseNumber(text.substr(dot + 1));
-  if (!life || !revision)
+  if (!generation || !revision)
     return std::nullopt;
-  return Position{.Life = Generation{*life},
+  return Position{.Generation = Generation{*generation},
                   .Revision = static_cast<int64_t>(*revision)};
 }
 
@@ -153,13 +153,13 @@
 /// registry. `held` items of it wait for being written again.
 void NewsDuty::noteRestore(const Position &before, InstanceId from) {
   Position after = Reader.mirror().position();
-  if (before == Position{} || before.Life == after.Life)
+  if (before == Position{} || before.Generation == after.Generation)
     return;
   Lines.write(
       LogLine("registry_restored")
           .with("from", from.Value == 0 ? "registry" : formatIp(from.Value))
-          .with("generation", static_cast<int64_t>(after.Life.Value))
-          .with("former", static_cast<int64_t>(before.Life.Value))
+          .with("generation", static_cast<int64_t>(after.Generation.Value))
+          .with("former", static_cast<int64_t>(before.Generation.Value))
           .with("copy_revision", before.Revision)
           .with("revision", after.Revision)
           .with("held", static_cast<int64_t>(Reader.mirror().heldCount())));
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -107,7 +107,7 @@
     failed(answer.Status, now);
     return false;
   }
-  page->setGeneration(answer.Life.value_or(Told.value_or(Generation{})));
+  page->setGeneration(answer.Generation.value_or(Told.value_or(Generation{})));
   notePosition(*page);
   Retry = Times.RetryLeast;
   DueAt = now;
@@ -122,9 +122,9 @@
 void NewsReader::noteGeneration(const NewsAnswer &answer) {
   if (answer.Status == 0)
     return;
-  HeaderTold = HeaderTold || answer.Life;
-  Generation life = answer.Life.value_or(Generation{});
-  Told = std::max(Told.value_or(life), life);
+  HeaderTold = HeaderTold || answer.Generation;
+  Generation generation = answer.Generation.value_or(Generation{});
+  Told = std::max(Told.value_or(generation), generation);
 }
 
 void NewsReader::notePosition(const ItemPage &page) {
@@ -133,10 +133,10 @@
     ++Stats.RevisionsBehind;
 }
 
-void NewsReader::heard(std::optional<Generation> life, Time now) {
-  if (!life || life <= Told)
+void NewsReader::heard(std::optional<Generation> generation, Time now) {
+  if (!generation || generation <= Told)
     return;
-  Told = life;
+  Told = generation;
   // Whoever watches is told by the next answer and passes it on; a list by
   // everyone at once would be a storm.
   if (State == Phase::Watching && !Waiting)
@@ -152,16 +152,17 @@
 void NewsReader::rebase(ItemPage &list) {
   ++Stats.Generations;
   if (HeaderTold) {
-    Told = list.At.Life;
+    Told = list.At.Generation;
     return Copy.forgetPositions();
   }
-  Told = Generation{Copy.position().Life.Value + 1};
+  Told = Generation{Copy.position().Generation.Value + 1};
   list.setGeneration(*Told);
 }
 
 void NewsReader::takeWhole(const ItemPage &page, Time now,
                            std::vector<token::Event> &out) {
-  if (Copy.position() != Position{} && Copy.position().Life < page.At.Life)
+  if (Copy.position() != Position{} &&
+      Copy.position().Generation < page.At.Generation)
     ++Stats.Generations;
   size_t heldBefore = Copy.heldCount();
   tell(Copy.replaceAll(page, Faults), out);
@@ -172,7 +173,7 @@
   OrdersTold = false;
   // Without a header the neighbours' word for it is all there is.
   if (!HeaderTold && Told)
-    Told = Copy.position().Life;
+    Told = Copy.position().Generation;
 }
 
 void NewsReader::endHeld(Time at, std::vector<token::Event> &out) {
@@ -199,9 +200,10 @@
   Retry = Times.RetryLeast;
   DueAt = now;
   std::vector<Change> changes;
-  auto taken = Start.take(absent ? std::string() : answer.Body,
-                          answer.Life.value_or(Told.value_or(Generation{})),
-                          Copy, Faults, changes);
+  auto taken =
+      Start.take(absent ? std::string() : answer.Body,
+                 answer.Generation.value_or(Told.value_or(Generation{})), Copy,
+                 Faults, changes);
   if (!taken) {
     // The list says it all once more.
     ++Stats.BadAnswers;
@@ -262,7 +264,7 @@
   // starts at the first page's revision.
   if (After.empty())
     Pages.At = page.At;
-  if (page.At.Life != Pages.At.Life) {
+  if (page.At.Generation != Pages.At.Generation) {
     startList(now);
     return false;
   }
@@ -279,7 +281,7 @@
     rebase(Pages);
   takeWhole(Pages, now, out);
   // An old read from before a restore is no list of this generation.
-  if (Pages.At.Life < Copy.position().Life) {
+  if (Pages.At.Generation < Copy.position().Generation) {
     startList(now);
     return false;
   }
@@ -320,7 +322,7 @@
                              std::vector<token::Event> &out) {
   bool silent = page.Items.empty();
   bool skipped = silent && page.At > Copy.position();
-  bool restored = page.At.Life != Copy.position().Life;
+  bool restored = page.At.Generation != Copy.position().Generation;
   tell(Copy.apply(page, Faults), out);
   if (skipped || restored) {
     startList(now);
@@ -349,7 +351,7 @@
   bool behind = push.Page.At > Copy.position();
   if (behind && (!push.Complete || push.Base > Copy.position()))
     return true;
-  if (push.Page.At.Life != Copy.position().Life) {
+  if (push.Page.At.Generation != Copy.position().Generation) {
     ++Stats.OtherGenerations;
     return behind;
   }
--- a/lib/edge/PeerMessages.cpp
+++ b/lib/edge/PeerMessages.cpp
@@ -33,12 +33,12 @@
 }
 
 Position readPosition(Unpacker &in) {
-  auto life = static_cast<uint64_t>(readRevision(in));
-  return {.Life = Generation{life}, .Revision = readRevision(in)};
+  auto generation = static_cast<uint64_t>(readRevision(in));
+  return {.Generation = Generation{generation}, .Revision = readRevision(in)};
 }
 
 void pack(Packer &out, Position position) {
-  out.number(position.Life.Value);
+  out.number(position.Generation.Value);
   out.number(static_cast<uint64_t>(position.Revision));
 }
 
@@ -78,7 +78,8 @@
   for (const msgpack_object &it : in.list()) {
     Unpacker item(it);
     Item read{.Key = item.text(),
-              .At = {.Life = out.Page.At.Life, .Revision = readRevision(item)},
+              .At = {.Generation = out.Page.At.Generation,
+                     .Revision = readRevision(item)},
               .Created = readRevision(item)};
     read.Deleted = item.flag();
     read.Value = item.text();
--- a/lib/edge/RecordDuty.cpp
+++ b/lib/edge/RecordDuty.cpp
@@ -90,16 +90,16 @@
 }
 
 void RecordDuty::noteGeneration(const NewsAnswer &answer) {
-  if (answer.Life <= Life)
+  if (answer.Generation <= Known)
     return;
-  Told = answer.Life;
-  learnGeneration(answer.Life);
+  Told = answer.Generation;
+  learnGeneration(answer.Generation);
 }
 
-void RecordDuty::learnGeneration(std::optional<Generation> life) {
-  if (Life && Life != life)
+void RecordDuty::learnGeneration(std::optional<Generation> generation) {
+  if (Known && Known != generation)
     Record.registryRestored();
-  Life = life;
+  Known = generation;
 }
 
 void RecordDuty::leave(std::function<void()> failed) {
--- a/lib/edge/RecordDuty.h
+++ b/lib/edge/RecordDuty.h
@@ -44,7 +44,7 @@
   /// `failed` is called where the registry did not answer it.
   void leave(std::function<void()> failed);
   /// The registry is in this generation, as its news tells.
-  void learnGeneration(std::optional<Generation> life);
+  void learnGeneration(std::optional<Generation> generation);
   /// A later generation that an answer to a call of this duty has told, once.
   std::optional<Generation> takeTold() { return std::exchange(Told, {}); }
   const RegistryCounts &calls() const { return Calls.counts(); }
@@ -64,7 +64,7 @@
   const Mirror &Copy;
   DirectoryWriter Directory;
   const RegistryDialect &Dialect;
-  std::optional<Generation> Life;
+  std::optional<Generation> Known;
   std::optional<Generation> Told;
   RegistryClient Calls;
   /// Set once the instance leaves, until that is told.
--- a/lib/edge/RegistryClient.h
+++ b/lib/edge/RegistryClient.h
@@ -52,7 +52,7 @@
     return {};
   return {.Status = result->Status,
           .Body = result->Body,
-          .Life = dialect.readGeneration(result->KeptHeader)};
+          .Generation = dialect.readGeneration(result->KeptHeader)};
 }
 
 } // namespace chicory::edge
--- a/lib/edge/StartSequence.cpp
+++ b/lib/edge/StartSequence.cpp
@@ -20,9 +20,11 @@
   return Dialect.readRouteRecords();
 }
 
-tl::expected<void, std::string>
-StartSequence::take(const std::string &body, Generation life, Mirror &copy,
-                    Findings &findings, std::vector<Change> &out) {
+tl::expected<void, std::string> StartSequence::take(const std::string &body,
+                                                    Generation generation,
+                                                    Mirror &copy,
+                                                    Findings &findings,
+                                                    std::vector<Change> &out) {
   switch (State) {
   case Step::Directory: {
     auto taken = takeDirectory(body, out);
@@ -30,7 +32,7 @@
     return taken;
   }
   case Step::Orders:
-    return takeOrders(body, life, copy, findings, out);
+    return takeOrders(body, generation, copy, findings, out);
   case Step::PastRoutes:
   case Step::Done:
     break;
@@ -39,14 +41,14 @@
   auto page = Dialect.readPage(body);
   if (!page)
     return tl::make_unexpected(page.error());
-  page->setGeneration(life);
+  page->setGeneration(generation);
   page->yieldToAll();
   out = copy.preview(*page, findings);
   return {};
 }
 
 tl::expected<void, std::string>
-StartSequence::takeOrders(const std::string &body, Generation life,
+StartSequence::takeOrders(const std::string &body, Generation generation,
                           Mirror &copy, Findings &findings,
                           std::vector<Change> &out) {
   State = Step::PastRoutes;
@@ -55,8 +57,8 @@
   auto page = Dialect.readPage(body);
   if (!page)
     return tl::make_unexpected(page.error());
-  page->setGeneration(life);
-  if (!Orders.Items.empty() && Orders.At.Life != life) {
+  page->setGeneration(generation);
+  if (!Orders.Items.empty() && Orders.At.Generation != generation) {
     // Pages of two generations are no whole.
     Orders = {};
     State = Step::Orders;
--- a/tests/AnnouncerTest.cpp
+++ b/tests/AnnouncerTest.cpp
@@ -94,10 +94,11 @@
   void givesUpALeaseThatARestoreMayHaveGivenToAnother() {
     Announcing it;
     it.fresh();
-    auto answer = [&](uint64_t life, const std::string &body) {
+    auto answer = [&](uint64_t generation, const std::string &body) {
       auto call = it.Record.next(it.Now);
-      it.Record.answered({.Status = Ok, .Body = body, .Life = Generation{life}},
-                         it.Now);
+      it.Record.answered(
+          {.Status = Ok, .Body = body, .Generation = Generation{generation}},
+          it.Now);
       return call ? call->Target : std::string();
     };
     expectEqual<std::string>("/-/kv-lease", answer(1, R"({"lease":5})"));
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -172,7 +172,7 @@
     first.Items.resize(2);
     first.More = true;
     reading.answer(
-        {.Status = Ok, .Body = bareBody(first), .Life = Generation{1}});
+        {.Status = Ok, .Body = bareBody(first), .Generation = Generation{1}});
     expectTrue(reading.take<token::RoutesLearned>().size() == 1, "the routes");
     expectTrue(!reading.Reader.complete(), "not all");
     expectTrue(!reading.Reader.mirror().since(at(0)), "and nothing to pass on");
@@ -180,7 +180,7 @@
     second.Items.erase(second.Items.begin(), second.Items.begin() + 2);
     reading.Reader.next(reading.Now);
     reading.answer(
-        {.Status = Ok, .Body = bareBody(second), .Life = Generation{1}});
+        {.Status = Ok, .Body = bareBody(second), .Generation = Generation{1}});
     expectTrue(reading.Reader.complete(), "all");
     auto learned = reading.take<token::BackendsLearned>();
     expectTrue(learned.size() == 1 && learned[0].Present.size() == 1,
@@ -228,8 +228,9 @@
       ItemPage second = store.list();
       std::erase_if(second.Items,
                     [](const Item &it) { return it.Key != "servers/i-2"; });
-      reading.answer(
-          {.Status = Ok, .Body = bareBody(second), .Life = Generation{1}});
+      reading.answer({.Status = Ok,
+                      .Body = bareBody(second),
+                      .Generation = Generation{1}});
       expectTrue(reading.take<token::BackendsLearned>().empty(), "no change");
       expectTrue(reading.Reader.mirror().whole().Items.size() == 2,
                  "the configuration, which came after its page, and a server");
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -12,15 +12,15 @@
 NewsPush sample(size_t valueBytes) {
   NewsPush out{.Sender = InstanceId{7},
                .Age = 12ms,
-               .Base = {.Life = Generation{3}, .Revision = 40},
+               .Base = {.Generation = Generation{3}, .Revision = 40},
                .Digest = 0xfedcba9876543210};
-  out.Page.At = {.Life = Generation{3}, .Revision = 42};
+  out.Page.At = {.Generation = Generation{3}, .Revision = 42};
   out.Page.Items = {{.Key = "servers/i-1",
                      .Value = std::string(valueBytes, 'x'),
-                     .At = {.Life = Generation{3}, .Revision = 41},
+                     .At = {.Generation = Generation{3}, .Revision = 41},
                      .Created = 11},
                     {.Key = "servers/i-2",
-                     .At = {.Life = Generation{3}, .Revision = 42},
+                     .At = {.Generation = Generation{3}, .Revision = 42},
                      .Deleted = true}};
   return out;
 }
@@ -60,7 +60,7 @@
     auto out = decodePush(encodePush(sample(100)));
     expectTrue(out.has_value(), "it can be read");
     expectEqual<uint32_t>(7, out->Sender.Value);
-    Position base{.Life = Generation{3}, .Revision = 40};
+    Position base{.Generation = Generation{3}, .Revision = 40};
     expectTrue(out->Age == 12ms && out->Base == base, "age and base");
     expectTrue(out->Page.Items == sample(100).Page.Items, "the items");
     expectEqual<uint64_t>(0xfedcba9876543210, out->Digest);
@@ -73,7 +73,8 @@
     auto out = decodePush(bytes);
     expectTrue(out && !out->Complete && out->Page.Items.empty(),
                "the receiver has to ask");
-    expectTrue(out->Page.At == Position{.Life = Generation{3}, .Revision = 42},
+    expectTrue(out->Page.At ==
+                   Position{.Generation = Generation{3}, .Revision = 42},
                "where it leads");
   }
 
--- a/tests/RegistrySamples.h
+++ b/tests/RegistrySamples.h
@@ -22,7 +22,7 @@
 
 /// A position in the life of a store that was never restored.
 inline Position at(int64_t revision) {
-  return {.Life = Generation{1}, .Revision = revision};
+  return {.Generation = Generation{1}, .Revision = revision};
 }
 
 /// What the registry holds, with its history.
@@ -76,16 +76,18 @@
     return out;
   }
   int64_t revision() const { return Revision; }
-  Position position() const { return {.Life = Life, .Revision = Revision}; }
-  Generation generation() const { return Life; }
+  Position position() const {
+    return {.Generation = Current, .Revision = Revision};
+  }
+  Generation generation() const { return Current; }
   /// Replaces all content by that of an older copy, as a restore does: its
   /// revisions are given out again, and the history is gone.
   void restore(const Store &copy) {
-    Generation next{Life.Value + 1};
+    Generation next{Current.Value + 1};
     *this = copy;
-    Life = next;
+    Current = next;
     for (auto &[key, item] : Items)
-      item.At.Life = next;
+      item.At.Generation = next;
     History.clear();
     HistoryFrom = Revision;
   }
@@ -165,7 +167,7 @@
 
   std::map<int64_t, Lease> Leases;
   int64_t Revision = 0;
-  Generation Life{1};
+  Generation Current{1};
   int64_t HistoryFrom = 0;
   std::map<std::string, Item> Items;
   std::vector<Item> History;
@@ -207,7 +209,7 @@
 /// The answer to any of the calls that read.
 inline NewsAnswer answerOf(const Store &store, const RegistryCall &call) {
   NewsAnswer out = bodyOf(store, call);
-  out.Life = store.generation();
+  out.Generation = store.generation();
   return out;
 }
 
--- a/tests/RestoreModel.h
+++ b/tests/RestoreModel.h
@@ -124,7 +124,7 @@
       const Mirror &copy = it->Reader.mirror();
       if (copy.heldCount() != 0)
         return it->Name + " holds " + std::to_string(copy.heldCount());
-      if (copy.position().Life != Registry.generation())
+      if (copy.position().Generation != Registry.generation())
         return it->Name + " is of another generation";
       if (!Registry.item("chicorybank/instances/" + it->Name))
         return it->Name + " has no record";
@@ -303,7 +303,7 @@
     // A read from a copy has the header of the registry as it is.
     if (call.Target.find("serializable") != std::string::npos) {
       NewsAnswer out = answerOf(Replica[draw(Replica.size())], call);
-      out.Life = Registry.generation();
+      out.Generation = Registry.generation();
       return out;
     }
     return answerOf(Registry, call);
@@ -340,11 +340,11 @@
     if (Now < it.CutUntil)
       return {};
     NewsAnswer out = Registry.change(call, Now, it.Name);
-    out.Life = Registry.generation();
-    if (out.Life > it.ToldRecord) {
+    out.Generation = Registry.generation();
+    if (out.Generation > it.ToldRecord) {
       it.Record.registryRestored();
-      it.ToldRecord = out.Life;
-      it.Reader.heard(out.Life, Now);
+      it.ToldRecord = out.Generation;
+      it.Reader.heard(out.Generation, Now);
     }
     return out;
   }
@@ -449,7 +449,8 @@
   void check() {
     bool all = true;
     for (const auto &it : Instances)
-      all = all && it->Reader.mirror().position().Life == Registry.generation();
+      all = all &&
+            it->Reader.mirror().position().Generation == Registry.generation();
     if (!all)
       FollowedAfter = Now - CalmSince;
     if (Now - CalmSince < Settle + ApplyWithin)
