--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -260,6 +260,7 @@
   std::map<InstanceId, PeerRecord> Peers;
   RouteRecords Recorded;
   DirectoryNote StoredDirectory;
+  /// The latest generation that the registry has told.
   std::optional<Generation> Told;
   /// Answers have a header that tells it.
   bool HeaderTold = false;
