chicoryd: lost rules are put back only over the version that was seen

Cause, found in the code: between reading the old version and putting the newest one back, a submission may be accepted under a lower number; it was overwritten. Now the service has to show that very manifest still. The test's last section failed before.

--- a/include/chicorybank/store/RuleRegistry.h
+++ b/include/chicorybank/store/RuleRegistry.h
@@ -65,8 +65,9 @@
   /// The manifests of the last versions, the oldest first.
   PlatformResult<std::vector<RuleManifest>> history();
   /// Writes a rule set that was in force, pages and all, where the service has
-  /// lost it and shows an older version. True: it stands there now.
-  PlatformResult<bool> putBack(const RuleManifest &manifest,
+  /// lost it and still shows the older `stored` one. True: it stands there now.
+  PlatformResult<bool> putBack(const RuleManifest &stored,
+                               const RuleManifest &manifest,
                                const PageStore &pages);
   /// The current rule set was accepted under a version number that had been
   /// given out before. It gets the next number after `highest`. True: it did.
--- a/lib/daemon/PlatformDuty.cpp
+++ b/lib/daemon/PlatformDuty.cpp
@@ -134,7 +134,7 @@
   ++Calls;
   RuleRegistry registry(service);
   auto done = state == StoredRules::Lost
-                  ? registry.putBack(Store.manifest(), Store.pages())
+                  ? registry.putBack(stored, Store.manifest(), Store.pages())
                   : registry.renumber(stored, Store.version());
   if (!done)
     LOG(WARNING) << "event=rules_not_repaired version=" << stored.Version.Value
--- a/lib/store/RuleRegistry.cpp
+++ b/lib/store/RuleRegistry.cpp
@@ -215,15 +215,16 @@
   return Accepted{.Version = rules.Version};
 }
 
-PlatformResult<bool> RuleRegistry::putBack(const RuleManifest &manifest,
+PlatformResult<bool> RuleRegistry::putBack(const RuleManifest &stored,
+                                           const RuleManifest &manifest,
                                            const PageStore &pages) {
   auto before = current();
   if (!before)
     return tl::make_unexpected(before.error());
-  if (before->Manifest && before->Manifest->Version >= manifest.Version)
+  // Whatever else stands there was accepted since, also under a lower number.
+  if (before->Manifest != stored)
     return false;
-  std::vector<KeyValuePut> puts =
-      newPages(pages, before->Manifest.value_or(RuleManifest{}));
+  std::vector<KeyValuePut> puts = newPages(pages, stored);
   // Pages have no effect until a manifest names them.
   while (puts.size() > MaxPagesPerSwap) {
     if (auto put = Service.put(puts.back()); !put)
--- a/tests/RuleRegistryTest.cpp
+++ b/tests/RuleRegistryTest.cpp
@@ -154,10 +154,12 @@
     PageStore pages;
     expectTrue(registry.fetchPages(held, pages).has_value(), "the pages");
     service = copy;
-    expectTrue(registry.putBack(held, pages).value(), "it is put back");
+    RuleManifest stored = registry.currentManifest().value().value();
+    expectTrue(registry.putBack(stored, held, pages).value(), "it is put back");
     expectEqual<std::string>("two", readCurrent(service).SubmissionId);
     section("once", [&] {
-      expectTrue(!registry.putBack(held, pages).value(), "it stands there");
+      expectTrue(!registry.putBack(stored, held, pages).value(),
+                 "it stands there");
     });
     section("and what follows gets the next number", [&] {
       expectEqual<uint64_t>(3, versionOf(registry.submit(submission("x"), {})));
@@ -165,8 +167,13 @@
     section("not over a later submission", [&] {
       service = copy;
       service.BeforeSwap = [&] { registry.submit(submission("y"), {}); };
-      expectTrue(!registry.putBack(held, pages).value_or(false),
+      expectTrue(!registry.putBack(stored, held, pages).value_or(false),
                  "another writer was first");
+      service = copy;
+      registry.submit(submission("three"), {});
+      held.Version = RuleVersion{9};
+      expectTrue(!registry.putBack(stored, held, pages).value(),
+                 "nor where it has a lower number");
     });
   }
 
