--- a/tests/MirrorTest.cpp
+++ b/tests/MirrorTest.cpp
@@ -24,8 +24,54 @@
   CPPUNIT_TEST(tellsOfAWarmUpOnce);
   CPPUNIT_TEST(tellsOfAFaultOnce);
   CPPUNIT_TEST(passesOnWhatCannotBeRead);
+  CPPUNIT_TEST(comparesNothingOverGenerations);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against taking what stood before a restore for what stands after it:
+  // by a checksum, by changes, by a page, or by what was passed on.
+  void comparesNothingOverGenerations() {
+    Store store;
+    store.server(1);
+    Store backup = store;
+    store.server(2);
+    Store former = store;
+    store.restore(backup);
+    store.server(3);
+    Mirror copy(Dialect);
+    Findings findings;
+    copy.replaceAll(former.list(), findings);
+    section("a checksum of another generation", [&] {
+      Mirror same = copy;
+      expectTrue(!same.adopt(store.position(), same.digest()), "shows nothing");
+      expectTrue(same.position() == former.position(), "and moves nothing");
+    });
+    section("changes of a later one", [&] {
+      Mirror behind = copy;
+      expectTrue(behind.apply(store.since(1), findings).empty(),
+                 "lead nowhere from here");
+      expectTrue(behind.position() == former.position(), "and move nothing");
+    });
+    section("its whole page", [&] {
+      copy.replaceAll(store.list(), findings);
+      expectTrue(copy.position() == store.position(), "is followed");
+      expectEqual<size_t>(1, copy.heldCount());
+      expectEqual<size_t>(2, copy.registrationCount());
+      expectTrue(!copy.since(former.position()),
+                 "nothing is passed on as changes to the former one");
+    });
+    section("a page of the former one, and its changes", [&] {
+      expectTrue(copy.replaceAll(former.list(), findings).empty(), "are old");
+      expectTrue(copy.apply(former.since(0), findings).empty(), "both of them");
+      expectEqual<size_t>(2, copy.registrationCount());
+    });
+    section("what was not written again has ended", [&] {
+      auto ended = copy.endHeld(HeldItems::Registrations, findings);
+      expectTrue(ended.size() == 1 && ended[0].What.Key == "servers/i-2",
+                 "server 2");
+      expectEqual<size_t>(0, copy.heldCount());
+    });
+  }
+
   // Symptom: while servers warm up, every heartbeat is passed on to all
   // instances.
   // Cause: what is left of the time counts down, so no heartbeat is like the
--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -55,6 +55,10 @@
   CPPUNIT_TEST(takesAVersionUnderAReusedRevision);
   CPPUNIT_TEST(takesADrainUnderAReusedRevision);
   CPPUNIT_TEST(holdsADrainUntilTheOperatorsHaveWritten);
+  CPPUNIT_TEST(listsAgainWhereAListStraddlesARestore);
+  CPPUNIT_TEST(listsWhereAWatchStraddlesARestore);
+  CPPUNIT_TEST(takesNoPushOfAFormerGenerationForProof);
+  CPPUNIT_TEST(believesTheRegistryOverAnyHeader);
   CPPUNIT_TEST(keepsItsPromisesThroughAnyTrouble);
   CPPUNIT_TEST(keepsThemWhereItOnceFailed);
   CPPUNIT_TEST(isFollowedByLargeDeploymentsWithoutAStorm);
@@ -133,6 +137,111 @@
     expectTrue(drains.size() == 1 && !drains[0].Active, "it was taken back");
   }
 
+  /// The answer that the store gives to a list, or a part of it.
+  static NewsAnswer page(const Store &store, size_t from, size_t count,
+                         bool more) {
+    ItemPage out = store.list();
+    out.Items.erase(out.Items.begin(),
+                    out.Items.begin() + static_cast<std::ptrdiff_t>(from));
+    out.Items.resize(std::min(count, out.Items.size()));
+    out.More = more;
+    return {
+        .Status = Ok, .Body = bareBody(out), .Generation = store.generation()};
+  }
+
+  // Guards against a list of which one page is of before a restore and the
+  // next of after it: what the first has and the second lost would stay.
+  void listsAgainWhereAListStraddlesARestore() {
+    Store store;
+    store.config(3);
+    Store backup = store;
+    store.server(1);
+    store.server(2);
+    Reading reading;
+    reading.start(store);
+    reading.Reader.next(reading.Now);
+    reading.answer(page(store, 0, 2, true));
+    store.restore(backup);
+    store.server(5);
+    reading.Reader.next(reading.Now);
+    reading.answer(page(store, 1, 5, false));
+    expectTrue(!reading.Reader.complete(), "they are no whole");
+    expectEqual<std::string>("/-/kv-range?prefix=", reading.stepOnce(store));
+    expectTrue(reading.Reader.mirror().position() == store.position(),
+               "a list of one generation is");
+    expectEqual<size_t>(1, reading.Reader.mirror().registrationCount());
+  }
+
+  // Guards against a watch that is answered all the same, since its revision
+  // exists again: what was written up to it would be skipped.
+  void listsWhereAWatchStraddlesARestore() {
+    BeforeARestore it;
+    Reading &reading = it.Reader;
+    it.Content.restore(it.Copy);
+    it.Content.config(23);
+    while (it.Content.revision() <
+           reading.Reader.mirror().position().Revision + 2)
+      it.Content.server(2, "ready", static_cast<int>(it.Content.revision()));
+    reading.Now += 500ms;
+    expectTrue(reading.stepOnce(it.Content).starts_with("/-/kv-watch"),
+               "a watch, which is answered");
+    expectTrue(reading.take<token::NewsChecked>().empty(), "shows nothing");
+    expectEqual<std::string>("/-/kv-range?prefix=",
+                             reading.stepOnce(it.Content));
+    expectTrue(versions(reading) == std::vector<uint64_t>{23}, "version 23");
+  }
+
+  void takesNoPushOfAFormerGenerationForProof() {
+    BeforeARestore it;
+    Reading former = it.Reader;
+    it.Content.restore(it.Copy);
+    it.pass(1s);
+    it.Reader.Events.clear();
+    it.Reader.Now += 100ms;
+    NewsPush push = former.Reader.push(InstanceId{9}, {}, it.Reader.Now);
+    push.Age = 1ms;
+    expectTrue(!it.Reader.Reader.takePush(push, false, it.Reader.Now,
+                                          it.Reader.Events),
+               "there is nothing to read there");
+    expectTrue(it.Reader.take<token::NewsChecked>().empty(), "no proof");
+    expectEqual<uint64_t>(1, it.Reader.Reader.stats().OtherGenerations);
+    section("the other way round, everything has to be read", [&] {
+      NewsPush later = it.Reader.Reader.push(InstanceId{8}, {}, it.Reader.Now);
+      expectTrue(
+          former.Reader.takePush(later, false, it.Reader.Now, former.Events),
+          "from the sender");
+    });
+  }
+
+  // Guards against an instance that follows a wrong header, or a neighbour's
+  // word, for ever: the registry's own list decides.
+  void believesTheRegistryOverAnyHeader() {
+    BeforeARestore it;
+    it.Content.restore(it.Copy);
+    it.Content.config(24);
+    auto without = [&](std::optional<Generation> header) {
+      for (int n = 0; n < 20; ++n) {
+        it.Reader.Now += 100ms;
+        while (auto call = it.Reader.Reader.next(it.Reader.Now)) {
+          NewsAnswer answer = answerOf(it.Content, call->Call);
+          answer.Generation = header;
+          it.Reader.answer(answer);
+        }
+      }
+    };
+    section("the header does not tell of the restore", [&] {
+      without(Generation{1});
+      expectTrue(versions(it.Reader) == std::vector<uint64_t>{24},
+                 "the list is below what was known");
+    });
+    section("it goes back", [&] {
+      it.Content.config(25);
+      without(Generation{0});
+      expectTrue(versions(it.Reader).back() == 25, "and is followed");
+      expectTrue(it.Reader.Reader.settled(), "without asking for ever");
+    });
+  }
+
   struct Happening {
     int What;
     int ForSteps;
