--- a/tests/BackendsTest.cpp
+++ b/tests/BackendsTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(seesSharedTokens);
   CPPUNIT_TEST(endsTheFormerOwnerOfAnAddress);
   CPPUNIT_TEST(endsNobodyWhoMovedAway);
+  CPPUNIT_TEST(knowsTheNewerAtAnAddressOverARestore);
   CPPUNIT_TEST(followsTheLivesOfAServer);
   CPPUNIT_TEST(keepsAServerWhoseRegistrationCannotBeRead);
   CPPUNIT_TEST_SUITE_END();
@@ -192,6 +193,31 @@
     expectEqual<size_t>(2, list.size());
   }
 
+  // Guards against resetting the flows of a server that lives, since a restored
+  // registry shows its dead predecessor in a new generation.
+  void knowsTheNewerAtAnAddressOverARestore() {
+    auto at = [](uint64_t id, RegistrationOrder order) {
+      Registration out = server(id);
+      out.Where = {.Ip = 10, .Port = 80};
+      out.Order = order;
+      return out;
+    };
+    Backends list({});
+    list.learn(at(1, {.Generation = 1, .Revision = 20}), Start);
+    list.learn(at(2, {.Generation = 1, .Revision = 50}), Start);
+    list.update(false, Start);
+    list.learn(at(1, {.Generation = 2, .Revision = 20}), Start);
+    expectTrue(list.at(list.find(BackendId{2})).State == Standing::Ready,
+               "the successor stays");
+    expectTrue(list.at(list.find(BackendId{1})).State == Standing::Gone,
+               "the predecessor does not come back");
+    section("a third one that registers after the restore is newer", [&] {
+      list.learn(at(3, {.Generation = 2, .Revision = 45}), Start);
+      expectTrue(list.at(list.find(BackendId{2})).State == Standing::Gone,
+                 "the second has ended");
+    });
+  }
+
   void seesSharedTokens() {
     Backends list({});
     constexpr uint64_t High = uint64_t{1} << 32;
