--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -166,6 +166,18 @@
     return out;
   }
 
+  /// Whether the metrics have this line within three seconds.
+  static bool shows(const EdgeSettings &settings, const std::string &line) {
+    httplib::Client client("127.0.0.1", settings.Peers.Port);
+    for (int n = 0; n < 150; ++n) {
+      auto metrics = client.Get("/metrics");
+      if (metrics && metrics->body.find(line) != std::string::npos)
+        return true;
+      std::this_thread::sleep_for(20ms);
+    }
+    return false;
+  }
+
   void servesAndStops() {
     RegistryServer registry;
     Socket server;
@@ -196,28 +208,12 @@
     });
     section("bad datagrams are counted and end nothing", [&] {
       caller.send(settings.Packets, std::vector<std::byte>(5));
-      httplib::Client client("127.0.0.1", settings.Peers.Port);
-      bool counted = false;
-      for (int n = 0; n < 100 && !counted; ++n) {
-        auto metrics = client.Get("/metrics");
-        counted =
-            metrics && metrics->body.find("chicory_bad_packets_total 1") !=
-                           std::string::npos;
-        std::this_thread::sleep_for(20ms);
-      }
-      expectTrue(counted, "the counter");
+      expectTrue(shows(settings, "chicory_bad_packets_total 1"), "the counter");
     });
     section("the configuration changes", [&] {
       registry.change([](Store &it) { it.config(2); });
-      httplib::Client client("127.0.0.1", settings.Peers.Port);
-      bool inForce = false;
-      for (int n = 0; n < 150 && !inForce; ++n) {
-        auto metrics = client.Get("/metrics");
-        inForce = metrics && metrics->body.find("chicory_rule_version 2") !=
-                                 std::string::npos;
-        std::this_thread::sleep_for(20ms);
-      }
-      expectTrue(inForce, "version 2 within three seconds");
+      expectTrue(shows(settings, "chicory_rule_version 2"),
+                 "version 2 within three seconds");
     });
     section("the registry is restored from before that", [&] {
       Store copy;
@@ -232,15 +228,8 @@
         it.restore(copy);
         it.config(3);
       });
-      httplib::Client client("127.0.0.1", settings.Peers.Port);
-      bool inForce = false;
-      for (int n = 0; n < 150 && !inForce; ++n) {
-        auto metrics = client.Get("/metrics");
-        inForce = metrics && metrics->body.find("chicory_rule_version 3") !=
-                                 std::string::npos;
-        std::this_thread::sleep_for(20ms);
-      }
-      expectTrue(inForce, "what is written then is in force in three seconds");
+      expectTrue(shows(settings, "chicory_rule_version 3"),
+                 "what is written then is in force in three seconds");
     });
     section("others can read its news", [&] {
       httplib::Client client("127.0.0.1", settings.Peers.Port);
--- a/tests/RestoreModel.h
+++ b/tests/RestoreModel.h
@@ -69,7 +69,7 @@
   void drainServer() {
     if (Servers.empty())
       return;
-    auto it = std::next(Servers.begin(), draw(Servers.size()));
+    auto it = anyServer();
     it->second.Draining = true;
     it->second.DrainedAt = Now;
     write(it->first);
@@ -77,7 +77,7 @@
   void endServer() {
     if (Servers.size() < 2)
       return;
-    auto it = std::next(Servers.begin(), draw(Servers.size()));
+    auto it = anyServer();
     Registry.remove(keyOf(it->first));
     Servers.erase(it);
   }
@@ -190,6 +190,10 @@
   };
 
   size_t draw(size_t most) { return Random() % most; }
+  std::map<uint64_t, Server>::iterator anyServer() {
+    return std::next(Servers.begin(),
+                     static_cast<std::ptrdiff_t>(draw(Servers.size())));
+  }
   Instance &any() { return *Instances[draw(Instances.size())]; }
   void disturb(Duration time = Duration::zero()) {
     CalmSince = std::max(CalmSince, Now + time);
