Items of old reads keep their revision, and yield by a mark

What callers may have seen: an open flow reset while its server serves, after a registration lapsed and returned, by an instance that heard of the return from one that had started since. Cause: items of old reads were given revision zero and passed on so; a receiver that had seen the end took them for older than it. Change: a mark makes them yield; the revision that was read is what is passed on.

--- a/include/chicorybank/edge/Registry.h
+++ b/include/chicorybank/edge/Registry.h
@@ -37,8 +37,15 @@
   bool Deleted = false;
   /// The lease that the key ends with; known where the item was read alone.
   int64_t Lease = 0;
+  /// From a read that may be old, even from before a restore: its position may
+  /// be later than that of what holds now. Whatever is read otherwise is newer.
+  bool Yields = false;
 
   bool operator==(const Item &) const = default;
+  /// Says more than what is known of the key.
+  bool supersedes(const Item &known) const {
+    return Yields != known.Yields ? known.Yields : At > known.At;
+  }
 };
 
 /// The answer to a list or a watch.
@@ -56,12 +63,9 @@
     for (Item &it : Items)
       it.At.Generation = generation;
   }
-  /// Its items are from a read that may be old, even from before a restore: one
-  /// of them may have a later revision than what holds now. Whatever is read
-  /// otherwise is newer.
   void yieldToAll() {
     for (Item &it : Items)
-      it.At.Revision = 0;
+      it.Yields = true;
   }
 };
 
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -169,7 +169,7 @@
 void Mirror::take(const Item &item, const ItemPage &page, Findings &findings,
                   std::vector<Change> &out) {
   auto it = Items.find(item.Key);
-  if (it != Items.end() && item.At <= it->second.What.At)
+  if (it != Items.end() && !item.supersedes(it->second.What))
     return;
   if (it == Items.end() && item.At <= At &&
       (item.Deleted || mayHaveEnded(item, page)))
@@ -265,10 +265,11 @@
   }
   std::vector<Item> ended;
   for (auto &[key, entry] : Items) {
-    if (present.contains(key) || entry.What.At > page.At || entry.Held)
+    bool later = entry.What.At > page.At && !entry.What.Yields;
+    if (present.contains(key) || later || entry.Held)
       continue;
-    bool otherHistory = entry.What.At.Generation < page.At.Generation ||
-                        entry.What.At.Revision == 0;
+    bool otherHistory =
+        entry.What.At.Generation < page.At.Generation || entry.What.Yields;
     if (otherHistory && mayBeHeld(entry.Meaning))
       hold(entry);
     else
@@ -330,6 +331,7 @@
 Item Mirror::passedOn(Item item) const {
   if (item.At.Generation != At.Generation)
     item.At = {.Generation = At.Generation};
+  item.Yields = false;
   return item;
 }
 
--- a/tests/MirrorTest.cpp
+++ b/tests/MirrorTest.cpp
@@ -25,8 +25,30 @@
   CPPUNIT_TEST(tellsOfAFaultOnce);
   CPPUNIT_TEST(passesOnWhatCannotBeRead);
   CPPUNIT_TEST(comparesNothingOverGenerations);
+  CPPUNIT_TEST(passesOnAReturnThatAnOldReadTold);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against a server that stays ended for an instance that saw its
+  // registration lapse, and hears of its return from one that has started
+  // since.
+  void passesOnAReturnThatAnOldReadTold() {
+    Store store;
+    store.server(1);
+    store.server(2);
+    Mirror copy(Dialect);
+    Findings findings;
+    copy.replaceAll(store.list(), findings);
+    store.remove("servers/i-2");
+    copy.apply(store.since(2), findings);
+    store.server(2);
+    Mirror started(Dialect);
+    ItemPage old = store.list();
+    old.yieldToAll();
+    started.replaceAll(old, findings);
+    copy.replaceAll(started.whole(), findings);
+    expectEqual<size_t>(2, copy.registrationCount());
+  }
+
   // Guards against taking what stood before a restore for what stands after it:
   // by a checksum, by changes, by a page, or by what was passed on.
   void comparesNothingOverGenerations() {
