Messages between instances are compressed, and large ones may take their time

What grows faster than the fleet: the changes of a pace times the receivers of one sender.

Ruled out: registrations in a short form of our own inside the messages; zlib does as well, and for the configuration too, which travels whole (250 routes).

Change: what does not fit into a datagram is compressed (zlib, its fastest level); a page that is read over TCP is MessagePack, compressed, made once for all who ask for the same; the time limit of such a read counts anew with each byte that arrives. Pages move into PeerPages, out of NewsDuty.

Before, 320 were 62 kB and left out. Samples of PeerMessagesTest hold bytes that can't be compressed, so that its bounds on sizes mean what they did; /news is read as a page of ours in EdgeTest.

--- a/include/chicorybank/edge/Mirror.h
+++ b/include/chicorybank/edge/Mirror.h
@@ -50,6 +50,10 @@
   /// That list may be older: an order that it has and these lack has ended.
   std::vector<Change> takeOrders(const ItemPage &page, Findings &findings);
 
+  /// The history has no gap behind a position.
+  bool reachesBackTo(Position position) const {
+    return position >= HistoryFrom && At != Position{};
+  }
   /// The changes behind a position; nothing if the history has a gap there.
   std::optional<ItemPage> since(Position position) const;
   /// All items but those that are held.
--- a/include/chicorybank/edge/PeerMessages.h
+++ b/include/chicorybank/edge/PeerMessages.h
@@ -1,6 +1,8 @@
 // The messages between edge instances, in MessagePack.
 //
 // Each is one datagram: an array that starts with a format version and a kind.
+// What is larger is compressed (`Compression.h`): a push is split into
+// fragments, a page is read over TCP.
 
 #ifndef CHICORYBANK_EDGE_PEERMESSAGES_H
 #define CHICORYBANK_EDGE_PEERMESSAGES_H
@@ -56,6 +58,11 @@
 /// A push of more pieces is read over TCP: the loss of any piece loses it all,
 /// and eight receivers get each.
 inline constexpr size_t MaxFragments = 16;
+/// A push that is larger before it is compressed is read over TCP as well.
+inline constexpr size_t MaxPushBytes = 512 << 10;
+/// A page that is larger before it is compressed is refused. 20,000
+/// registrations and a configuration of a megabyte are 8 MB.
+inline constexpr size_t MaxPageBytes = 16 << 20;
 
 /// Encodes a push. Leaves the items out where they would make it larger than
 /// `most`.
@@ -66,6 +73,13 @@
 /// messages apart.
 std::vector<std::string> encodeDatagrams(const NewsPush &push,
                                          uint64_t message);
+/// Reads the bytes of all fragments of a push.
+tl::expected<NewsPush, Reason> decodeFragments(std::span<const char> bytes);
+
+/// Encodes what an instance reads from another one over TCP.
+std::string encodePage(const ItemPage &page);
+tl::expected<ItemPage, Reason> decodePage(std::span<const char> bytes);
+
 std::string encodeDoubt(const Doubt &doubt);
 tl::expected<PeerMessage, Reason> decodeDatagram(std::span<const char> bytes);
 
--- a/lib/edge/Http.cpp
+++ b/lib/edge/Http.cpp
@@ -122,6 +122,9 @@
   CalledAt = steadyNow();
   FirstByteAt.reset();
   Deadline = CalledAt + call.Timeout;
+  SilenceLimit.reset();
+  if (call.LimitsSilence)
+    SilenceLimit = call.Timeout;
   In.clear();
   Out = call.Method + ' ' + call.Target +
         " HTTP/1.1\r\nHost: " + formatAddress(Server) + "\r\n";
@@ -195,8 +198,11 @@
       return;
     if (n <= 0)
       return finish(tl::make_unexpected(HttpFailure::Broken));
+    Time now = steadyNow();
     if (!FirstByteAt)
-      FirstByteAt = steadyNow();
+      FirstByteAt = now;
+    if (SilenceLimit)
+      Deadline = now + *SilenceLimit;
     if (!Done || !In.take(buf.data(), static_cast<size_t>(n)))
       return finish(tl::make_unexpected(HttpFailure::Unread));
     if (!In.done())
--- a/lib/edge/Http.h
+++ b/lib/edge/Http.h
@@ -31,6 +31,8 @@
   std::string Target;
   std::string Body;
   Duration Timeout = std::chrono::seconds(1);
+  /// The time limit counts anew with all that arrives of the answer.
+  bool LimitsSilence = false;
 };
 
 /// A whole answer.
@@ -137,6 +139,8 @@
   HttpMessage In{HTTP_RESPONSE};
   Handler Done;
   Time Deadline = Time::max();
+  /// Of a call whose time limit counts anew with all that arrives.
+  std::optional<Duration> SilenceLimit;
   Time CalledAt;
   std::optional<Time> FirstByteAt;
 };
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -339,7 +339,7 @@
 }
 
 std::optional<ItemPage> Mirror::since(Position position) const {
-  if (position < HistoryFrom || At == Position{})
+  if (!reachesBackTo(position))
     return std::nullopt;
   ItemPage out{.At = At};
   std::unordered_set<std::string_view> told;
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// Peers answer from memory; one that does not is slow or gone.
-constexpr Duration PeerTimeout = std::chrono::milliseconds(500);
 constexpr size_t ReadBytes = 2048;
 constexpr int ReadsAtOnce = 64;
 
@@ -19,24 +17,6 @@
   return from.Value == 0 ? "registry" : formatIp(from.Value);
 }
 
-/// A position in the path of a call between instances: "2.415".
-std::string positionText(Position position) {
-  return std::to_string(position.Generation.Value) + '.' +
-         std::to_string(position.Revision);
-}
-
-std::optional<Position> parsePosition(std::string_view text) {
-  size_t dot = text.find('.');
-  if (dot == std::string_view::npos)
-    return std::nullopt;
-  auto generation = parseNumber(text.substr(0, dot));
-  auto revision = parseNumber(text.substr(dot + 1));
-  if (!generation || !revision)
-    return std::nullopt;
-  return Position{.Generation = Generation{*generation},
-                  .Revision = static_cast<int64_t>(*revision)};
-}
-
 } // namespace
 
 NewsDuty::NewsDuty(Loop &loop, Log &log, const EdgeSettings &settings,
@@ -52,15 +32,15 @@
               .RetryMost = settings.News.RetryMost,
               .Seed = settings.Core.Seed}),
       Records(loop, log, settings, dialect, Reader.mirror()),
-      Registry(loop, settings.Ip, settings.Registry, dialect) {
+      Registry(loop, settings.Ip, settings.Registry, dialect),
+      Pages(loop, settings.Ip, Reader.mirror()) {
   Reader.setPatience(Spread.patience(), Spread.retryMost());
   Events.watch(Socket.get(), EPOLLIN, [this](uint32_t) { readPushes(); });
 }
 
 void NewsDuty::run(Time now) {
   Registry.expire(now);
-  if (Peer)
-    Peer->expire(now);
+  Pages.expire(now);
   passNews();
   shareDoubts(now);
   learnRecord(now);
@@ -77,9 +57,7 @@
 }
 
 Time NewsDuty::nextAt() const {
-  Time out = Registry.deadline();
-  if (Peer)
-    out = std::min(out, Peer->deadline());
+  Time out = std::min(Registry.deadline(), Pages.deadline());
   if (Reader.started())
     out = std::min(out, Records.nextAt(mayWrite(), Spread.patience()));
   if (mayRemind())
@@ -247,7 +225,7 @@
   std::optional<std::string> bytes = Fragments.take(std::move(fragment));
   if (!bytes)
     return;
-  auto push = decodePush(*bytes);
+  auto push = decodeFragments(*bytes);
   if (push)
     takePush(*push, now);
   else
@@ -287,7 +265,7 @@
   bool behind = Reader.takePush(push, now < LateUntil, now, news);
   tell(std::move(news), push.Sender, now);
   if (behind)
-    return pull(push.Sender, false);
+    return pull(push.Sender, !Reader.complete());
   // Half a pace newer than what was passed on last: worth a datagram to each.
   bool newer = Reader.currentAt() - PushedAsOf >= Settings.News.Pace / 2 ||
                Reader.mirror().position() > PushedTo;
@@ -319,25 +297,21 @@
 }
 
 void NewsDuty::pull(InstanceId from, bool whole) {
-  auto it = Others.known().find(from);
-  if (it == Others.known().end() || (Peer && Peer->busy()))
+  if (Pages.busy())
     return;
-  connectPeer(from, it->second.Peers);
-  std::string target = "/news";
+  std::optional<Position> since;
   if (!whole)
-    target += "?after=" + positionText(Reader.mirror().position());
-  Peer->call({.Target = std::move(target), .Timeout = PeerTimeout},
-             [this, from, whole](const HttpClient::Result &result) {
-               takePulled(result, from, whole);
-             });
+    since = Reader.mirror().position();
+  Pages.read(from, addressOf(from), since,
+             [this](const PageRead &page) { takePulled(page); });
 }
 
-void NewsDuty::connectPeer(InstanceId id, Address at) {
-  if (Peer && PeerId == id)
-    return;
-  // News is read over TCP, on the port of the same number.
-  Peer = std::make_unique<HttpClient>(Events, Settings.Ip, at);
-  PeerId = id;
+/// All instances use one port, also where no record says so yet.
+Address NewsDuty::addressOf(InstanceId id) const {
+  auto it = Others.known().find(id);
+  return it == Others.known().end()
+             ? Address{.Ip = id.Value, .Port = Settings.Peers.Port}
+             : it->second.Peers;
 }
 
 void NewsDuty::remindOthers(Time now) {
@@ -360,71 +334,41 @@
 }
 
 void NewsDuty::pullSeed(InstanceId from) {
-  if (Peer && Peer->busy())
+  if (Pages.busy())
     return;
-  // No record says so yet, but all instances use one port.
-  connectPeer(from, {.Ip = from.Value, .Port = Settings.Peers.Port});
-  Peer->call({.Target = "/news", .Timeout = PeerTimeout},
-             [this](const HttpClient::Result &it) { takeSeed(it); });
+  Pages.read(from, addressOf(from), std::nullopt,
+             [this](const PageRead &page) { takeSeed(page); });
 }
 
-void NewsDuty::takeSeed(const HttpClient::Result &result) {
+void NewsDuty::takeSeed(const PageRead &read) {
   LogLine line("news_from_peer");
-  line.with("peer", formatIp(PeerId.Value));
-  if (!result)
-    return Lines.write(line.with("why", httpFailureName(result.error())));
-  auto page = Dialect.readPage(result->Body);
-  if (result->Status != HttpOk || !page)
-    return Lines.write(line.with("status", result->Status));
+  line.with("peer", formatIp(read.From.Value));
+  if (!read.Page)
+    return Lines.write(line.with("why", read.Why));
   std::vector<token::Event> news;
-  Reader.takeSeed(*page, news);
-  Lines.write(line.with("revision", page->At.Revision));
-  tell(std::move(news), PeerId, steadyNow());
+  Reader.takeSeed(*read.Page, news);
+  Lines.write(line.with("revision", read.Page->At.Revision));
+  tell(std::move(news), read.From, steadyNow());
 }
 
-void NewsDuty::takePulled(const HttpClient::Result &result, InstanceId from,
-                          bool whole) {
-  if (!result) {
+void NewsDuty::takePulled(const PageRead &read) {
+  if (read.Gone && !read.Whole)
+    return pull(read.From, true);
+  if (!read.Page) {
     Reader.pullFailed();
     return Lines.write(LogLine("news_pull_failed")
-                           .with("peer", formatIp(from.Value))
-                           .with("why", httpFailureName(result.error())));
-  }
-  if (result->Status == HttpGone && !whole)
-    return pull(from, true);
-  auto page = Dialect.readPage(result->Body);
-  if (result->Status != HttpOk || !page) {
-    Reader.pullFailed();
-    return Lines.write(LogLine("news_pull_failed")
-                           .with("peer", formatIp(from.Value))
-                           .with("status", result->Status));
+                           .with("peer", formatIp(read.From.Value))
+                           .with("why", read.Why));
   }
   Time now = steadyNow();
   std::vector<token::Event> news;
   Position before = Reader.mirror().position();
-  Reader.takePull(*page, whole, now, news);
-  noteRestore(before, from);
-  tell(std::move(news), from, now);
+  Reader.takePull(*read.Page, read.Whole, now, news);
+  noteRestore(before, read.From);
+  tell(std::move(news), read.From, now);
   sendPush(false, now);
 }
 
-HttpAnswer NewsDuty::answer(const std::string &target) const {
-  constexpr std::string_view After = "/news?after=";
-  if (target == "/news")
-    return {.Status = HttpOk,
-            .Body = Dialect.writePage(Reader.mirror().whole())};
-  auto position =
-      target.starts_with(After)
-          ? parsePosition(std::string_view(target).substr(After.size()))
-          : std::nullopt;
-  if (!position)
-    return {.Status = HttpNotFound};
-  auto page = Reader.mirror().since(*position);
-  if (!page)
-    return {.Status = HttpGone};
-  return {.Status = HttpOk, .Body = Dialect.writePage(*page)};
-}
-
 void NewsDuty::stoodStill(Time now) {
   // Long enough to read what waits in the socket.
   constexpr Duration Reading = std::chrono::milliseconds(100);
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -5,6 +5,7 @@
 #define CHICORYBANK_LIB_EDGE_NEWSDUTY_H
 
 #include "Log.h"
+#include "PeerPages.h"
 #include "RecordDuty.h"
 #include "RegistryClient.h"
 #include "Shared.h"
@@ -37,8 +38,8 @@
   /// Starts the calls that are due and ends those whose time is over.
   void run(Time now);
   Time nextAt() const;
-  /// Answers another instance that reads news: "/news" or "/news?after=N".
-  HttpAnswer answer(const std::string &target) const;
+  /// Answers another instance that reads news.
+  HttpAnswer answer(const std::string &target) { return Pages.answer(target); }
   /// The process stood still: pushes that wait in the socket are old.
   void stoodStill(Time now);
   /// Passes changed bounds on to the packet thread.
@@ -65,9 +66,9 @@
   void shareDoubts(Time now);
   void sendDoubt(token::BackendId id, bool own);
   void pull(InstanceId from, bool whole);
+  Address addressOf(InstanceId id) const;
   void pullSeed(InstanceId from);
-  void takeSeed(const HttpClient::Result &result);
-  void connectPeer(InstanceId id, Address at);
+  void takeSeed(const PageRead &read);
   void remindOthers(Time now);
   bool mayRemind() const;
   /// What is missing here is missing in the registry, and calls to it are not
@@ -76,8 +77,7 @@
     return Reader.complete() && !Away && Reader.settled();
   }
   void takePeers(Time now);
-  void takePulled(const HttpClient::Result &result, InstanceId from,
-                  bool whole);
+  void takePulled(const PageRead &read);
   void sendPush(bool asked, Time now);
   void send(const std::string &bytes, Address target);
   /// Passes news on to the packet thread. `from`: the instance that told it;
@@ -86,7 +86,6 @@
   void noteDrain(const token::ZoneDrainLearned &drain, InstanceId from);
   void passNews();
   void noteRegistry(Time now);
-
   Log &Lines;
   const EdgeSettings &Settings;
   const RegistryDialect &Dialect;
@@ -98,8 +97,7 @@
   RecordDuty Records;
   RegistryClient Registry;
   Time StartedAt = steadyNow();
-  std::unique_ptr<HttpClient> Peer;
-  InstanceId PeerId;
+  PeerPages Pages;
   std::deque<token::Event> Pending;
   /// The registered instances, and those that may be back.
   Reminders Others;
--- a/lib/edge/PeerMessages.cpp
+++ b/lib/edge/PeerMessages.cpp
@@ -2,14 +2,16 @@
 
 #include "MessagePack.h"
 
+#include "chicorybank/edge/Compression.h"
+
 #include <algorithm>
 
 namespace chicory::edge {
 
 namespace {
 
-constexpr uint64_t FormatVersion = 2;
-enum class Kind : uint8_t { News = 1, Fragment = 2, Doubt = 3 };
+constexpr uint64_t FormatVersion = 3;
+enum class Kind : uint8_t { News = 1, Fragment = 2, Doubt = 3, Page = 4 };
 
 /// Reads a message's format version and kind; `read` reads the rest of the
 /// outer array, which depends on the kind.
@@ -49,6 +51,12 @@
   out.flag(item.Deleted).text(item.Value);
 }
 
+void pack(Packer &out, const std::vector<Item> &items) {
+  out.list(items.size());
+  for (const Item &it : items)
+    pack(out, it);
+}
+
 std::string packPush(const NewsPush &push, bool withItems) {
   Packer out;
   out.list(11).number(FormatVersion).number(static_cast<uint64_t>(Kind::News));
@@ -57,13 +65,33 @@
   pack(out, push.Base);
   pack(out, push.Page.At);
   out.number(push.Digest).flag(withItems && push.Complete);
-  out.list(withItems ? push.Page.Items.size() : 0);
-  if (withItems)
-    for (const Item &it : push.Page.Items)
-      pack(out, it);
+  pack(out, withItems ? push.Page.Items : std::vector<Item>());
   return out.take();
 }
 
+/// Too much for a push, whatever compression makes of it.
+bool isTooLarge(const NewsPush &push) {
+  size_t bytes = 0;
+  for (const Item &it : push.Page.Items)
+    bytes += it.Key.size() + it.Value.size();
+  return bytes > MaxPushBytes;
+}
+
+std::vector<Item> readItems(Unpacker &in, Generation generation) {
+  std::vector<Item> out;
+  for (const msgpack_object &it : in.list()) {
+    Unpacker item(it);
+    Item read{.Key = item.text(),
+              .At = {.Generation = generation, .Revision = readRevision(item)},
+              .Created = readRevision(item)};
+    read.Deleted = item.flag();
+    read.Value = item.text();
+    in.require(item.done());
+    out.push_back(std::move(read));
+  }
+  return out;
+}
+
 NewsPush readPush(Unpacker &in) {
   NewsPush out{.Sender = readInstance(in)};
   uint64_t age = in.number();
@@ -75,17 +103,7 @@
   out.Page.At = readPosition(in);
   out.Digest = in.number();
   out.Complete = in.flag();
-  for (const msgpack_object &it : in.list()) {
-    Unpacker item(it);
-    Item read{.Key = item.text(),
-              .At = {.Generation = out.Page.At.Generation,
-                     .Revision = readRevision(item)},
-              .Created = readRevision(item)};
-    read.Deleted = item.flag();
-    read.Value = item.text();
-    in.require(item.done());
-    out.Page.Items.push_back(std::move(read));
-  }
+  out.Page.Items = readItems(in, out.Page.At.Generation);
   return out;
 }
 
@@ -116,9 +134,13 @@
 
 std::vector<std::string> encodeDatagrams(const NewsPush &push,
                                          uint64_t message) {
-  std::string bytes = encodePush(push, FragmentBytes * MaxFragments);
+  bool tooLarge = isTooLarge(push);
+  std::string bytes = packPush(push, !tooLarge);
   if (bytes.size() <= MaxPeerMessage)
     return {std::move(bytes)};
+  bytes = compress(bytes);
+  if (bytes.size() > FragmentBytes * MaxFragments)
+    return {packPush(push, false)};
   std::vector<std::string> out;
   size_t count = (bytes.size() + FragmentBytes - 1) / FragmentBytes;
   for (size_t n = 0; n < count; ++n) {
@@ -132,6 +154,34 @@
   return out;
 }
 
+tl::expected<NewsPush, Reason> decodeFragments(std::span<const char> bytes) {
+  // Keys and values are not all of a push.
+  constexpr size_t Most = 2 * MaxPushBytes;
+  return decompress(bytes, Most).and_then([](const std::string &it) {
+    return decodePush(it);
+  });
+}
+
+std::string encodePage(const ItemPage &page) {
+  Packer out;
+  out.list(5).number(FormatVersion).number(static_cast<uint64_t>(Kind::Page));
+  pack(out, page.At);
+  pack(out, page.Items);
+  return compress(out.take());
+}
+
+tl::expected<ItemPage, Reason> decodePage(std::span<const char> bytes) {
+  auto read = [](Unpacker &in, uint64_t kind) {
+    in.require(kind == static_cast<uint64_t>(Kind::Page));
+    ItemPage out{.At = readPosition(in)};
+    out.Items = readItems(in, out.At.Generation);
+    return out;
+  };
+  return decompress(bytes, MaxPageBytes).and_then([&](const std::string &it) {
+    return decode<ItemPage>(it, read);
+  });
+}
+
 std::string encodeDoubt(const Doubt &doubt) {
   Packer out;
   out.list(4).number(FormatVersion).number(static_cast<uint64_t>(Kind::Doubt));
--- /dev/null
+++ b/lib/edge/PeerPages.cpp
@@ -0,0 +1,97 @@
+#include "PeerPages.h"
+
+#include "chicorybank/edge/PeerMessages.h"
+
+namespace chicory::edge {
+
+namespace {
+
+// Peers answer from memory; one that sends nothing for this long is slow or
+// gone. A large answer over a small link takes longer as a whole.
+constexpr Duration PeerTimeout = std::chrono::milliseconds(500);
+constexpr const char *PageType = "application/octet-stream";
+
+/// A position in the path of a call: "2.415".
+std::string positionText(Position position) {
+  return std::to_string(position.Generation.Value) + '.' +
+         std::to_string(position.Revision);
+}
+
+std::optional<Position> parsePosition(std::string_view text) {
+  size_t dot = text.find('.');
+  if (dot == std::string_view::npos)
+    return std::nullopt;
+  auto generation = parseNumber(text.substr(0, dot));
+  auto revision = parseNumber(text.substr(dot + 1));
+  if (!generation || !revision)
+    return std::nullopt;
+  return Position{.Generation = Generation{*generation},
+                  .Revision = static_cast<int64_t>(*revision)};
+}
+
+void takeResult(const HttpClient::Result &result, PageRead &out) {
+  if (!result) {
+    out.Why = httpFailureName(result.error());
+    return;
+  }
+  out.Gone = result->Status == HttpGone;
+  if (result->Status != HttpOk) {
+    out.Why = "status " + std::to_string(result->Status);
+    return;
+  }
+  if (auto page = decodePage(result->Body))
+    out.Page = std::move(*page);
+  else
+    out.Why = reasonName(page.error());
+}
+
+} // namespace
+
+HttpAnswer PeerPages::answer(const std::string &target) {
+  constexpr std::string_view Whole = "/news";
+  constexpr std::string_view After = "/news?after=";
+  auto since =
+      target.starts_with(After)
+          ? parsePosition(std::string_view(target).substr(After.size()))
+          : std::nullopt;
+  if (!since && target != Whole)
+    return {.Status = HttpNotFound};
+  if (since && !Copy.reachesBackTo(*since))
+    return {.Status = HttpGone};
+  // All that read after one push ask for the same.
+  bool same = Last.Target == target && Last.At == Copy.position() &&
+              Last.Digest == Copy.digest();
+  if (!same)
+    Last = {.Target = target,
+            .At = Copy.position(),
+            .Digest = Copy.digest(),
+            .Bytes = encodePage(since ? *Copy.since(*since) : Copy.whole())};
+  return {.Status = HttpOk, .Body = Last.Bytes, .ContentType = PageType};
+}
+
+void PeerPages::read(InstanceId peer, Address at, std::optional<Position> since,
+                     Handler done) {
+  if (!Client || PeerId != peer) {
+    Client = std::make_unique<HttpClient>(Events, From, at);
+    PeerId = peer;
+  }
+  std::string target = "/news";
+  if (since)
+    target += "?after=" + positionText(*since);
+  Client->call({.Target = std::move(target),
+                .Timeout = PeerTimeout,
+                .LimitsSilence = true},
+               [peer, whole = !since,
+                done = std::move(done)](const HttpClient::Result &result) {
+                 PageRead out{.From = peer, .Whole = whole};
+                 takeResult(result, out);
+                 done(std::move(out));
+               });
+}
+
+void PeerPages::expire(Time now) {
+  if (Client)
+    Client->expire(now);
+}
+
+} // namespace chicory::edge
--- /dev/null
+++ b/tests/CompressionTest.cpp
@@ -0,0 +1,50 @@
+#include "chicorybank/edge/Compression.h"
+
+#include "Story.h"
+
+using namespace story;
+using namespace chicory;
+using namespace chicory::edge;
+
+class CompressionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CompressionTest);
+  CPPUNIT_TEST(comesOutAsItWentIn);
+  CPPUNIT_TEST(refusesDamagedBytes);
+  CPPUNIT_TEST(makesNoRoomForMoreThanAsked);
+  CPPUNIT_TEST_SUITE_END();
+
+  void comesOutAsItWentIn() {
+    property("any bytes", [] {
+      auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+      auto out = decompress(compress(bytes), bytes.size());
+      RC_ASSERT(out.has_value());
+      RC_ASSERT(*out == bytes);
+    });
+    std::string large(1'000'000, 'x');
+    expectTrue(compress(large).size() < large.size() / 100, "what repeats");
+    expectTrue(decompress(compress(large), large.size()) == large,
+               "in several steps");
+  }
+
+  void refusesDamagedBytes() {
+    property("cut, changed or continued bytes", [] {
+      std::string bytes = compress("servers/i-1 servers/i-2");
+      std::string cut = bytes.substr(0, bytes.size() - 1);
+      RC_ASSERT(!decompress(cut, 100));
+      RC_ASSERT(!decompress(bytes + "x", 100));
+      auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+      bytes[at] = *rc::gen::arbitrary<char>();
+      decompress(bytes, 100);
+    });
+    expectTrue(!decompress({}, 100), "nothing at all");
+  }
+
+  // Guards against a small message that takes all memory.
+  void makesNoRoomForMoreThanAsked() {
+    std::string bytes = compress(std::string(1'000'000, 'x'));
+    expectTrue(!decompress(bytes, 999'999), "one byte too many");
+    expectTrue(decompress(bytes, 1'000'000).has_value(), "just enough");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CompressionTest);
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -234,7 +234,7 @@
     section("others can read its news", [&] {
       httplib::Client client("127.0.0.1", settings.Peers.Port);
       auto whole = client.Get("/news");
-      expectTrue(whole && dialect.readPage(whole->body)->Items.size() == 2,
+      expectTrue(whole && decodePage(whole->body)->Items.size() == 2,
                  "everything");
       auto none = client.Get("/news?after=x");
       expectEqual<int>(404, none->status);
@@ -261,7 +261,7 @@
     platform::StoreDialect dialect;
     httplib::Server peer;
     peer.Get("/news", [&](const auto &, auto &answer) {
-      answer.set_content(dialect.writePage(known.list()), "application/json");
+      answer.set_content(encodePage(known.list()), "application/octet-stream");
     });
     int port = peer.bind_to_any_port("127.0.0.2");
     std::thread peerThread([&] { peer.listen_after_bind(); });
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -2,6 +2,8 @@
 
 #include "Story.h"
 
+#include <random>
+
 using namespace story;
 using namespace chicory;
 using namespace chicory::edge;
@@ -9,6 +11,41 @@
 
 namespace {
 
+/// A value that no compression makes smaller.
+std::string noise(size_t bytes) {
+  std::mt19937 random(1);
+  std::uniform_int_distribution<int> byte(0, 255);
+  std::string out;
+  for (size_t n = 0; n < bytes; ++n)
+    out += static_cast<char>(byte(random));
+  return out;
+}
+
+/// Registrations of so many servers that have just started, as they stand in
+/// the registry.
+NewsPush registrations(size_t count) {
+  std::mt19937_64 random(2);
+  NewsPush out{.Sender = InstanceId{7}};
+  out.Page.At.Revision = 100'000;
+  for (size_t n = 0; n < count; ++n) {
+    std::array<char, 11> id{};
+    std::snprintf(id.data(), id.size(), "%010llx",
+                  static_cast<unsigned long long>(random() >> 24));
+    std::string value =
+        R"({"service":"huvo11a","address":"10.128.)" +
+        std::to_string(random() % 40) + '.' + std::to_string(random() % 256) +
+        R"(:8080","zone":"gikondo","version":"v1","slots":2,"state":"ready",)"
+        R"("warmup_left_ms":2000,"sequence":1,"born":17923624)" +
+        std::to_string(10'000 + random() % 90'000) + '}';
+    out.Page.Items.push_back(
+        {.Key = std::string("servers/") + id.data(),
+         .Value = std::move(value),
+         .At = {.Revision = static_cast<int64_t>(50'000 + n)},
+         .Created = static_cast<int64_t>(50'000 + n)});
+  }
+  return out;
+}
+
 NewsPush sample(size_t valueBytes) {
   NewsPush out{.Sender = InstanceId{7},
                .Age = 12ms,
@@ -16,7 +53,7 @@
                .Digest = 0xfedcba9876543210};
   out.Page.At = {.Generation = Generation{3}, .Revision = 42};
   out.Page.Items = {{.Key = "servers/i-1",
-                     .Value = std::string(valueBytes, 'x'),
+                     .Value = noise(valueBytes),
                      .At = {.Generation = Generation{3}, .Revision = 41},
                      .Created = 11},
                     {.Key = "servers/i-2",
@@ -37,6 +74,9 @@
   CPPUNIT_TEST(refusesDamagedFragments);
   CPPUNIT_TEST(carriesADoubt);
   CPPUNIT_TEST(believesNoLengthThatCannotBe);
+  CPPUNIT_TEST(carriesAPageOfEverything);
+  CPPUNIT_TEST(pushesWhatAFleetRegistersInAPace);
+  CPPUNIT_TEST(servesLargePagesOverSmallLinks);
   CPPUNIT_TEST_SUITE_END();
 
   // Symptom: an instance runs out of memory.
@@ -90,7 +130,7 @@
                  "a fragment");
       whole += std::get<Fragment>(*message).Bytes;
     }
-    auto out = decodePush(whole);
+    auto out = decodeFragments(whole);
     expectTrue(out && out->Complete && out->Page.Items == push.Page.Items,
                "the items");
     section("a small push is one datagram, as it is", [] {
@@ -102,6 +142,41 @@
     });
   }
 
+  void carriesAPageOfEverything() {
+    ItemPage page = sample(100'000).Page;
+    std::string bytes = encodePage(page);
+    auto out = decodePage(bytes);
+    expectTrue(out && out->Items == page.Items && out->At == page.At,
+               "the items, and where they stand");
+    bytes.resize(bytes.size() / 2);
+    expectTrue(!decodePage(bytes), "half of it is refused");
+  }
+
+  // Pattern: 10,000 servers register, 320 of them a second, or twice as many,
+  // and instances pass that on. Guards against pushes that leave their items
+  // out, since each receiver then reads them from its sender, or from the
+  // registry.
+  void pushesWhatAFleetRegistersInAPace() {
+    for (size_t servers : {320U, 640U}) {
+      auto datagrams = encodeDatagrams(registrations(servers), 1);
+      expectTrue(datagrams.size() > 1, "the items are in it");
+      expectTrue(datagrams.size() <= MaxFragments,
+                 std::to_string(datagrams.size()) + " datagrams");
+    }
+  }
+
+  // Guards against pages that eight receivers can't read from one sender. Its
+  // link of 20 Mbit/s carries 2.5 MB a second.
+  void servesLargePagesOverSmallLinks() {
+    constexpr size_t Receivers = 8;
+    constexpr size_t LinkBytesPerSecond = 2'500'000;
+    size_t one = encodePage(registrations(1000).Page).size();
+    size_t two = encodePage(registrations(2000).Page).size();
+    expectTrue(two <= 2 * one, "twice the servers are twice the bytes at most");
+    expectTrue(Receivers * two < LinkBytesPerSecond / 2,
+               std::to_string(two) + " bytes for 2,000 servers");
+  }
+
   void leavesOutWhatNeedsTooManyDatagrams() {
     auto datagrams = encodeDatagrams(sample(FragmentBytes * MaxFragments), 3);
     expectEqual<size_t>(1, datagrams.size());
