Starts read everything from those who have listed

Cause: after a loss of power each instance listed everything within two seconds: 57 pages and 4 MB each, 5,700 calls and 4 GB for 985, half a minute of the registry's link, behind which the orders and renewals of all wait. It holds only while the fleet is small: lists are instances times servers.

Change: the directory tells how many instances there are. Eight of them list at once, as of now, so that what they read proves something and is passed on. The others wait for longer the more servers there are, and read everything from the first instance that tells of itself and is in touch (232 kB compressed for 10,000 servers). In case nobody does, lists begin one by one, twice as many in each further tenth of the time (1.5 ms a server, 20 s at most).

Ruled out: pages from instances whose own copy proves nothing, which would spread what is old; a watch behind the directory's revision, which holds all renewals since.

Measured in the model (one zone, 10 servers an instance): of 100 and of 200 that start at once at most a quarter list, and all know everything within 8 s. Before, all list. The reader's test and the model's fail on the code before.

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -16,7 +16,8 @@
 // - the first list may be old, where a directory was there to start with: it
 //   costs a tenth, and shows nothing. A current list, or a push with the same
 //   checksum, has to follow before the news counts as current and is passed
-//   on;
+//   on. While that list waits for its time, everything is read from the first
+//   instance that tells of itself, so that few lists serve all that start;
 // - the registry may be restored from an older copy (`Position.h`). Its answers
 //   tell the generation. What they tell in a later one than the copy's is taken
 //   from a whole list alone, whose pages are all of one generation. A list that
@@ -193,6 +194,7 @@
   void takeStart(const NewsAnswer &answer, Time now,
                  std::vector<token::Event> &out);
   void beginFirstList(Time now);
+  void beginWatching(Time now, std::vector<token::Event> &out);
   /// What the directory named and the first list lacks.
   void tellUnlisted(std::vector<token::Event> &out);
   RegistryCall nextCall(Time now);
@@ -204,6 +206,11 @@
   void showCurrent(Time at, std::vector<token::Event> &out);
   void tell(std::vector<Change> changes, std::vector<token::Event> &out);
   void startList(Time at);
+  /// The first list is to come, and has not begun.
+  bool firstListIsAhead() const {
+    return !Complete && State == Phase::Listing && !Waiting && After.empty();
+  }
+  bool replacesFirstList(const NewsPush &push) const;
   /// The push shows that the list which is due would find nothing.
   bool settles(const NewsPush &push) const;
   bool pageIsNext() const {
--- a/include/chicorybank/edge/StartSequence.h
+++ b/include/chicorybank/edge/StartSequence.h
@@ -33,12 +33,13 @@
 /// The state machine; it does no I/O.
 class StartSequence {
 public:
-  /// For each server that the directory names. With half as many instances as
-  /// servers and 400 bytes for a server, their lists take half of a link of
-  /// 1,000 Mbit/s, whatever the size.
-  static constexpr Duration ListSpread = std::chrono::milliseconds(2);
-  /// Above it a start would know too late who has ended.
-  static constexpr Duration ListSpreadMost = std::chrono::seconds(2);
+  /// For each server that the directory names. A list of 400 bytes a server
+  /// takes a tenth of that on a link of 20 Mbit/s, and passing it on in a tree
+  /// of three steps a half.
+  static constexpr Duration ListSpread = std::chrono::microseconds(1500);
+  /// Above it a start that nobody tells anything would know too late who has
+  /// ended.
+  static constexpr Duration ListSpreadMost = std::chrono::seconds(20);
   /// So many list without a wait, and tell the others. One may be cut off or
   /// slow, and in each zone there should be one.
   static constexpr size_t EarlyLists = 8;
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -3,6 +3,7 @@
 #include "Http.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chicory::edge {
 
@@ -26,8 +27,8 @@
 NewsReader::NewsReader(const RegistryDialect &dialect, NewsTimes times,
                        uint64_t seed, std::string zone)
     : Times(times), Dialect(dialect), Random(seed), Copy(dialect),
-      Start(dialect, std::move(zone)), Patience(times.Pace), RetryMost(times.RetryMost),
-      Retry(times.RetryLeast) {}
+      Start(dialect, std::move(zone)), Patience(times.Pace),
+      RetryMost(times.RetryMost), Retry(times.RetryLeast) {}
 
 void NewsReader::setPatience(Duration patience, Duration retryMost) {
   Patience = patience;
@@ -224,9 +225,17 @@
   Duration spread = Start.listSpread();
   if (spread == Duration::zero())
     return;
+  // A few list at once, and the others hear of it from there: so what they
+  // read has to prove something.
+  std::uniform_real_distribution<double> uniform(0, 1);
+  if (uniform(Random) < Start.earlyShare())
+    return;
   ListFreshness = Freshness::MayBeOld;
-  std::uniform_real_distribution<double> share(0, 1);
-  DueAt = now + std::chrono::duration_cast<Duration>(spread * share(Random));
+  // In case the others don't hear, one of a thousand begins, and twice as many
+  // in each further tenth of the time.
+  constexpr double Doublings = 10;
+  double wait = std::max(0.0, 1 + std::log2(uniform(Random)) / Doublings);
+  DueAt = now + std::chrono::duration_cast<Duration>(spread * wait);
 }
 
 void NewsReader::failed(int status, Time now) {
@@ -287,22 +296,27 @@
     startList(now);
     return false;
   }
-  if (!Complete)
-    tellUnlisted(out);
-  bool current =
-      std::exchange(ListFreshness, Freshness::Current) == Freshness::Current;
+  bool current = ListFreshness == Freshness::Current;
   Unproven = !current;
   if (current)
     showCurrent(ListStartedAt, out);
+  beginWatching(now, out);
+  return current;
+}
+
+/// Everything is known, from a list or, the first time, from another instance.
+void NewsReader::beginWatching(Time now, std::vector<token::Event> &out) {
+  if (!Complete)
+    tellUnlisted(out);
   if (!Complete && !Seeded)
     out.emplace_back(token::BackendsComplete{});
-  Pages = {};
-  After.clear();
   Complete = true;
+  ListFreshness = Freshness::Current;
   LastList = now;
+  Pages = {};
+  After.clear();
   Reviewing = false;
   State = Phase::Watching;
-  return current;
 }
 
 /// The directory may name servers that had ended before the list; no item of
@@ -348,7 +362,7 @@
                           std::vector<token::Event> &out) {
   ++Stats.Pushes;
   if (!Complete)
-    return false;
+    return !late && replacesFirstList(push);
   Copy.adopt(push.Page.At, push.Digest);
   bool behind = push.Page.At > Copy.position();
   if (behind && (!push.Complete || push.Base > Copy.position()))
@@ -373,6 +387,15 @@
   return false;
 }
 
+/// Everything can be read from the sender. Where all instances start at once,
+/// each list is megabytes on the registry's link and a call for each of its
+/// pages; one sees that link full for half a minute, and `registry_calls` with
+/// as many lists as there are pages.
+bool NewsReader::replacesFirstList(const NewsPush &push) const {
+  return firstListIsAhead() && push.Age < Times.AwayAfter &&
+         push.Page.At.Generation == Told;
+}
+
 /// A list is due since this copy may have missed a change, and the push is by
 /// someone who has asked the registry since and has the same copy: there was
 /// none. Otherwise hundreds would list at once when the registry is back from
@@ -388,12 +411,15 @@
                           std::vector<token::Event> &out) {
   ++Stats.Pulls;
   Stats.WholePulls += whole ? 1 : 0;
-  if (whole) {
-    Unproven = false;
-    takeWhole(page, now, out);
-  } else {
-    tell(Copy.apply(page, Faults), out);
-  }
+  if (!whole)
+    return tell(Copy.apply(page, Faults), out);
+  // A list that has begun meanwhile goes on.
+  if (!Complete && !firstListIsAhead())
+    return;
+  Unproven = false;
+  takeWhole(page, now, out);
+  if (!Complete)
+    beginWatching(now, out);
 }
 
 void NewsReader::takeSeed(const ItemPage &page,
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(backsOffFromAFailingRegistry);
   CPPUNIT_TEST(leavesOutMereRenewals);
   CPPUNIT_TEST(readsWhatAStartNeedsFirst);
+  CPPUNIT_TEST(readsEverythingFromAPeerBeforeItLists);
   CPPUNIT_TEST(listsAtOnceWithoutADirectory);
   CPPUNIT_TEST(takesAnOldListForNoProof);
   CPPUNIT_TEST(waitsForNewsAfterAnOldList);
@@ -456,6 +457,45 @@
     return store;
   }
 
+  // Guards against lists of everything by all that start, where a neighbour has
+  // it already.
+  void readsEverythingFromAPeerBeforeItLists() {
+    Store store = withDirectory();
+    Reading peer;
+    peer.start(store);
+    while (!peer.Reader.complete() || !peer.Reader.mayPassOn()) {
+      peer.Now += 1s;
+      peer.step(store);
+    }
+    Reading reading;
+    reading.start(store);
+    reading.take<token::BackendsLearned>();
+    NewsPush push = peer.Reader.push(InstanceId{1},
+                                     peer.Reader.mirror().position(), peer.Now);
+    expectTrue(
+        !reading.Reader.takePush(push, true, reading.Now, reading.Events),
+        "not from one that may have waited for long");
+    push.Age = 5s;
+    expectTrue(
+        !reading.Reader.takePush(push, false, reading.Now, reading.Events),
+        "nor from one that is out of touch");
+    push.Age = 0s;
+    expectTrue(
+        reading.Reader.takePush(push, false, reading.Now, reading.Events),
+        "it reads from there");
+    reading.Reader.takePull(peer.Reader.mirror().whole(), true, reading.Now,
+                            reading.Events);
+    expectTrue(reading.Reader.complete(), "and knows everything");
+    expectTrue(reading.take<token::BackendsComplete>().size() == 1,
+               "which is told");
+    expectTrue(reading.Reader.mirror().digest() ==
+                   peer.Reader.mirror().digest(),
+               "it is the same");
+    reading.Reader.takePush(push, false, reading.Now, reading.Events);
+    expectTrue(!reading.Reader.away(reading.Now), "and current");
+    expectTrue(reading.step(store).empty(), "no list follows");
+  }
+
   // Pattern: 295 instances come back from a loss of power within 0.3 s.
   // Grounds: each needs the configuration and the servers to carry packets, and
   // neither the records of the others nor the rest of the registrations' text.
--- a/tests/StartModel.h
+++ b/tests/StartModel.h
@@ -11,6 +11,8 @@
 
 #include "RegistrySamples.h"
 
+#include "chicorybank/edge/NewsSpread.h"
+
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -28,6 +30,9 @@
   double RegistryBytesPerSecond = 125e6;
   double InstanceBytesPerSecond = 2.5e6;
   size_t PageItems = 500;
+  /// They know each other by their records, tell each other their news, and the
+  /// model goes on until all of them know everything.
+  bool Peers = false;
 };
 
 /// What came out of it.
@@ -36,6 +41,10 @@
   std::vector<Duration> ServesAfter;
   /// Calls, as the registry prices them: one that may be old counts a tenth.
   double Price = 0;
+  /// Lists that were begun.
+  size_t Lists = 0;
+  /// From the first start until the last instance knows everything.
+  Duration CompleteAfter = Duration::zero();
 
   Duration share(double part) const {
     return ServesAfter[static_cast<size_t>(
@@ -50,6 +59,15 @@
       : Registry(registry), Options(options) {
     for (size_t n = 0; n < options.Instances; ++n)
       Instances.push_back(std::make_unique<Instance>(n));
+    std::map<InstanceId, PeerRecord> records;
+    for (const auto &it : Instances)
+      records[it->Id] = {
+          .Id = it->Id, .Zone = "nyarutarama", .Peers = {.Ip = it->Id.Value}};
+    if (Options.Peers)
+      for (const auto &it : Instances) {
+        it->Spread.learn(records);
+        it->Reader.setPatience(it->Spread.patience(), it->Spread.retryMost());
+      }
   }
 
   StartOutcome run() {
@@ -59,7 +77,7 @@
                                  static_cast<int64_t>(Instances.size());
       at(it.StartedAt, [this, &it](Time now) { act(it, now); });
     }
-    while (Out.ServesAfter.size() < Instances.size() && !Events.empty()) {
+    while (!done() && !Events.empty()) {
       Event next = Events.top();
       Events.pop();
       next.Do(next.At);
@@ -70,10 +88,16 @@
 
 private:
   struct Instance {
-    explicit Instance(uint64_t seed)
-        : Reader(Dialect, {}, seed, "nyarutarama") {}
+    explicit Instance(size_t n)
+        : Id{static_cast<uint32_t>(n + 1)},
+          Reader(Dialect, {}, n, "nyarutarama"),
+          Spread({.Self = Id, .Zone = "nyarutarama", .Seed = n}) {}
+    InstanceId Id;
     platform::StoreDialect Dialect;
     NewsReader Reader;
+    NewsSpread Spread;
+    bool Reads = false;
+    bool Complete = false;
     Time StartedAt;
     Time LinkFreeAt;
     bool Routes = false;
@@ -93,9 +117,14 @@
     Events.push({.At = when, .Order = ++Ordered, .Do = std::move(action)});
   }
 
+  bool done() const {
+    return Out.ServesAfter.size() == Instances.size() &&
+           (!Options.Peers || Completed == Instances.size());
+  }
+
   /// An instance makes the call that is due, or comes back when one is.
   void act(Instance &it, Time now) {
-    if (it.Serves && it.Reader.complete())
+    if (it.Serves && it.Reader.complete() && !Options.Peers)
       return;
     auto call = it.Reader.next(now);
     if (!call) {
@@ -107,6 +136,8 @@
     bool old = call->Call.Target.find("serializable") != std::string::npos;
     constexpr double OldReadPrice = 0.1;
     Out.Price += old ? OldReadPrice : 1;
+    bool begins = call->Call.Target.find("after=") == std::string::npos;
+    Out.Lists += call->Call.Kind == CallKind::List && begins ? 1 : 0;
     at(now + Options.OneWay + Options.AnswerAfter,
        [this, &it, call = call->Call](Time then) { answer(it, call, then); });
   }
@@ -126,14 +157,62 @@
 
   void take(Instance &it, const NewsAnswer &answer, Time now) {
     std::vector<token::Event> events;
-    it.Reader.answered(answer, now, events);
+    bool learned = it.Reader.answered(answer, now, events);
+    note(it, events, now);
+    if (learned && Options.Peers)
+      push(it, true, now);
+    act(it, now);
+  }
+
+  void note(Instance &it, const std::vector<token::Event> &events, Time now) {
     for (const token::Event &event : events) {
       it.Routes |= std::holds_alternative<token::RoutesLearned>(event);
       it.Servers |= std::holds_alternative<token::BackendsLearned>(event);
     }
     if (it.Routes && it.Servers && !std::exchange(it.Serves, true))
       Out.ServesAfter.push_back(now - it.StartedAt);
-    act(it, now);
+    if (it.Reader.complete() && !std::exchange(it.Complete, true)) {
+      ++Completed;
+      Out.CompleteAfter = now - Start;
+    }
+  }
+
+  void push(Instance &from, bool asked, Time now) {
+    if (!from.Reader.mayPassOn())
+      return;
+    NewsPush push =
+        from.Reader.push(from.Id, from.Reader.mirror().position(), now);
+    for (Address to : from.Spread.targets(asked)) {
+      Instance &it = *Instances[to.Ip - 1];
+      at(now + Options.OneWay, [this, &it, &from, push](Time then) {
+        takePush(it, from, push, then);
+      });
+    }
+  }
+
+  void takePush(Instance &it, Instance &from, const NewsPush &push, Time now) {
+    Time before = it.Reader.currentAt();
+    std::vector<token::Event> events;
+    bool behind = it.Reader.takePush(push, false, now, events);
+    note(it, events, now);
+    if (!behind)
+      return it.Reader.currentAt() > before ? this->push(it, false, now)
+                                            : void();
+    if (std::exchange(it.Reads, true))
+      return;
+    // The sender's link carries one page after the other.
+    auto page = std::make_shared<ItemPage>(from.Reader.mirror().whole());
+    if (PageBytes == 0)
+      PageBytes = encodePage(*page).size();
+    from.LinkFreeAt = std::max(from.LinkFreeAt, now + Options.OneWay) +
+                      onLink(PageBytes, Options.InstanceBytesPerSecond);
+    at(from.LinkFreeAt, [this, &it, page](Time then) {
+      it.Reads = false;
+      std::vector<token::Event> told;
+      it.Reader.takePull(*page, true, then, told);
+      note(it, told, then);
+      this->push(it, false, then);
+    });
   }
 
   static Duration onLink(size_t bytes, double rate) {
@@ -166,6 +245,8 @@
   Time LinkFreeAt;
   std::map<std::string, NewsAnswer> Answers;
   StartOutcome Out;
+  size_t Completed = 0;
+  size_t PageBytes = 0;
 };
 
 } // namespace samples::registry
--- a/tests/StartSequenceTest.cpp
+++ b/tests/StartSequenceTest.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(servesSoonWhereHundredsStartAtOnce);
   CPPUNIT_TEST(growsWithServersNotWithInstances);
   CPPUNIT_TEST(servesFromItsOwnZoneFirst);
+  CPPUNIT_TEST(listsForEachOther);
   CPPUNIT_TEST_SUITE_END();
 
   // Pattern: 300 instances come back from a loss of power within 0.3 s, before
@@ -111,6 +112,23 @@
       expectTrue(out.share(0.9) <= 100ms, shownOf(out));
     }
   }
+
+  // Pattern: a fleet with ten servers an instance loses power. Guards against a
+  // list by each instance: at 985 of them they are 4 GB, half a minute of the
+  // registry's link.
+  void listsForEachOther() {
+    for (size_t instances : {100U, 200U}) {
+      Store store = registryFor(instances, 10 * instances);
+      addDirectory(store);
+      StartOutcome out =
+          StartModel(store, {.Instances = instances, .Peers = true}).run();
+      std::string shown = std::to_string(out.Lists) + " lists of " +
+                          std::to_string(instances) + ", complete after " +
+                          std::to_string(ms(out.CompleteAfter)) + " ms";
+      expectTrue(out.Lists * 4 <= instances, shown);
+      expectTrue(out.CompleteAfter <= 8s, shown);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StartSequenceTest);
