Reminders go to a few at a time, other ones each time

While the registry is away, each instance told all whose records had lapsed, five times a second, and told the heads of all zones each 0.7 s: at 985 instances of which 345 have lapsed that is 1,700 datagrams a second to each of those, and 1,400 a second to each head, on 0.12 of a core. It grows with the square of the fleet.

Change: who tells whom is drawn by a hash of the pair and the turn: each instance is told by four of its zone and one elsewhere at a time, in the mean. Reminders carry no changes; whoever lacks something reads it from the sender, as before.

Ruled out: a fixed few for each, which may all have died with it.

Measured: in 10 s an instance sends and receives at most 400, at 300 and at 600 alike, and each is first told within 1 s (lapsed) or 4 s. The test fails on the code before. remindsWhileTheRegistryIsAway now has an instance to tell, since due() returns whom.

--- a/include/chicorybank/edge/Reminders.h
+++ b/include/chicorybank/edge/Reminders.h
@@ -8,6 +8,10 @@
 //
 // In a rolling restart it may be that just those are left who are about to
 // stop, or who have only what a neighbour told them. They tell as well.
+//
+// Each instance is told by a few at a time, other ones each time. If all told
+// all, or all told the heads of zones, a fleet whose registry is away would do
+// nothing else; one sees `pushes` in `status` lines rise by hundreds a second.
 
 #ifndef CHICORYBANK_EDGE_REMINDERS_H
 #define CHICORYBANK_EDGE_REMINDERS_H
@@ -36,10 +40,20 @@
   /// registry that turns it away for as long as a lease lives is no exception.
   static constexpr Duration PlaceKeptFor = std::chrono::seconds(12);
 
+  /// So many in its zone tell an instance at a time, in the mean. Where half of
+  /// them have died with it, it hears of one at the first or second time.
+  static constexpr double ToldByNeighbours = 4;
+  /// And so many elsewhere, in case its whole zone has died.
+  static constexpr double ToldByOthers = 1;
+
+  /// For an instance in this zone.
+  Reminders(InstanceId self, std::string zone)
+      : Self(self), Zone(std::move(zone)) {}
+
   /// The registered instances are now these.
   void learn(const std::map<InstanceId, PeerRecord> &peers, Time now);
-  /// Whether the registered instances are to be told now.
-  bool due(bool away, Time now);
+  /// Registered instances to be told now.
+  std::vector<Address> due(bool away, Time now);
   /// Instances to be told now that have left, or are leaving, and may be back.
   std::vector<Address> dueFormer(bool away, Time now);
   /// When either is due while the registry is away.
@@ -55,8 +69,17 @@
     PeerRecord Peer;
     Time At;
   };
+  bool tells(const PeerRecord &peer, uint64_t turn) const;
+
+  InstanceId Self;
+  std::string Zone;
   std::map<InstanceId, PeerRecord> Known;
+  /// Of those, the others in this zone, and those elsewhere.
+  size_t Neighbours = 0;
+  size_t Elsewhere = 0;
   std::map<InstanceId, Left> Former;
+  /// Counts the times at which any were told.
+  uint64_t Turn = 0;
   Time DueAt;
   Time FormerDueAt;
 };
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -33,7 +33,8 @@
               .Seed = settings.Core.Seed}),
       Records(loop, log, settings, dialect, Reader.mirror()),
       Registry(loop, settings.Ip, settings.Registry, dialect),
-      Pages(loop, settings.Ip, Reader.mirror()) {
+      Pages(loop, settings.Ip, Reader.mirror()),
+      Others(InstanceId{settings.Ip}, settings.Zone) {
   Reader.setPatience(Spread.patience(), Spread.retryMost());
   Events.watch(Socket.get(), EPOLLIN, [this](uint32_t) { readPushes(); });
 }
@@ -317,15 +318,16 @@
 void NewsDuty::remindOthers(Time now) {
   if (!mayRemind())
     return;
-  if (Others.due(Away, now))
-    sendPush(true, now);
+  std::vector<Address> targets = Others.due(Away, now);
   std::vector<Address> former = Others.dueFormer(Away, now);
-  if (former.empty())
+  targets.insert(targets.end(), former.begin(), former.end());
+  if (targets.empty())
     return;
+  // Whoever lacks something reads it from here.
   NewsPush push =
       Reader.push(InstanceId{Settings.Ip}, Reader.mirror().position(), now);
   std::string bytes = encodePush(push);
-  for (Address it : former)
+  for (Address it : targets)
     send(bytes, it);
 }
 
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -78,6 +78,7 @@
   }
   void takePeers(Time now);
   void takePulled(const PageRead &read);
+  /// `asked`: this instance got the news from the registry.
   void sendPush(bool asked, Time now);
   void send(const std::string &bytes, Address target);
   /// Passes news on to the packet thread. `from`: the instance that told it;
--- a/lib/edge/Reminders.cpp
+++ b/lib/edge/Reminders.cpp
@@ -1,6 +1,9 @@
 #include "chicorybank/edge/Reminders.h"
 
+#include "chicorybank/base/Hash.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace chicory::edge {
 
@@ -9,6 +12,11 @@
     if (!peers.contains(id))
       Former[id] = {.Peer = peer, .At = now};
   Known = peers;
+  auto near = std::count_if(Known.begin(), Known.end(), [&](const auto &it) {
+    return it.first != Self && it.second.Zone == Zone;
+  });
+  Neighbours = static_cast<size_t>(near);
+  Elsewhere = Known.size() - Neighbours;
   std::erase_if(Former, [&](const auto &it) {
     return Known.contains(it.first) || now - it.second.At > FormerFor;
   });
@@ -25,11 +33,27 @@
   return out;
 }
 
-bool Reminders::due(bool away, Time now) {
+/// A share of all pairs, another one each turn.
+bool Reminders::tells(const PeerRecord &peer, uint64_t turn) const {
+  bool near = peer.Zone == Zone;
+  double share =
+      near ? ToldByNeighbours /
+                 static_cast<double>(std::max<size_t>(Neighbours, 1))
+           : ToldByOthers / static_cast<double>(std::max<size_t>(Elsewhere, 1));
+  uint64_t hash = mixHash(mixHash(Self.Value, peer.Id.Value), turn);
+  return static_cast<double>(hash) < share * std::ldexp(1.0, 64);
+}
+
+std::vector<Address> Reminders::due(bool away, Time now) {
+  std::vector<Address> out;
   if (!away || now < DueAt)
-    return false;
+    return out;
   DueAt = now + Every;
-  return true;
+  ++Turn;
+  for (const auto &[id, peer] : Known)
+    if (id != Self && tells(peer, Turn))
+      out.push_back(peer.Peers);
+  return out;
 }
 
 std::vector<Address> Reminders::dueFormer(bool away, Time now) {
@@ -37,8 +61,9 @@
   if (!away || now < FormerDueAt)
     return out;
   FormerDueAt = now + FormerEvery;
+  ++Turn;
   for (const auto &[id, left] : Former)
-    if (now - left.At <= FormerFor)
+    if (now - left.At <= FormerFor && tells(left.Peer, Turn))
       out.push_back(left.Peer.Peers);
   return out;
 }
--- a/tests/RemindersTest.cpp
+++ b/tests/RemindersTest.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Time Start{100s};
+constexpr InstanceId Self{9};
 
 std::map<InstanceId, PeerRecord> peers(const std::vector<uint32_t> &ids) {
   std::map<InstanceId, PeerRecord> out;
@@ -36,6 +37,7 @@
   CPPUNIT_TEST(knowsWhoLeftBeforeItStarted);
   CPPUNIT_TEST(keepsThePlacesOfThoseWhoseRecordsLapse);
   CPPUNIT_TEST(tellsThoseWhomTheRegistryTurnsAway);
+  CPPUNIT_TEST(tellsFewAtATimeWhateverTheFleet);
   CPPUNIT_TEST_SUITE_END();
 
   // Symptom: an instance that restarts in a cut-off zone serves nobody, though
@@ -46,7 +48,7 @@
   void knowsWhoLeftBeforeItStarted() {
     auto some = peers({1, 2});
     some[InstanceId{2}].Leaving = true;
-    Reminders it;
+    Reminders it(Self, "a");
     it.learn(some, Start);
     expectTrue(formerOf(it, Start) == std::vector{Address{2, 7}}, "it leaves");
     it.learn(peers({1}), Start + 8s);
@@ -57,7 +59,7 @@
   }
 
   void keepsThePlacesOfThoseWhoseRecordsLapse() {
-    Reminders it;
+    Reminders it(Self, "a");
     auto all = peers({1, 2, 3});
     it.learn(all, Start);
     expectTrue(it.placed(Start) == all, "the registered ones");
@@ -85,7 +87,7 @@
         if (n % 3 != 0)
           registered.push_back(n);
       }
-      Reminders it;
+      Reminders it(Self, "a");
       it.learn(peers(ids), Start);
       it.learn(peers(registered), Start + 1s);
       auto placed = it.placed(Start + 2s);
@@ -104,12 +106,57 @@
     }
   }
 
+  // Pattern: the registry is away for a whole fleet, and a third of its records
+  // have lapsed. Guards against instances that tell all of those five times a
+  // second, which grows with the square of the fleet.
+  void tellsFewAtATimeWhateverTheFleet() {
+    for (uint32_t size : {300U, 600U}) {
+      std::vector<uint32_t> ids;
+      std::vector<uint32_t> registered;
+      for (uint32_t n = 1; n <= size; ++n) {
+        ids.push_back(n);
+        if (n % 3 != 0)
+          registered.push_back(n);
+      }
+      constexpr int Seconds = 10;
+      std::map<uint32_t, int> received;
+      std::map<uint32_t, Duration> firstAfter;
+      int sentMost = 0;
+      for (uint32_t self : registered) {
+        Reminders it(InstanceId{self}, "a");
+        it.learn(peers(ids), Start);
+        it.learn(peers(registered), Start);
+        int sent = 0;
+        for (Time now = Start; now < Start + 1s * Seconds; now += 100ms) {
+          std::vector<Address> told = it.due(true, now);
+          for (Address to : it.dueFormer(true, now))
+            told.push_back(to);
+          sent += static_cast<int>(told.size());
+          for (Address to : told) {
+            ++received[to.Ip];
+            auto first = firstAfter.try_emplace(to.Ip, now - Start).first;
+            first->second = std::min(first->second, now - Start);
+          }
+        }
+        sentMost = std::max(sentMost, sent);
+      }
+      std::string shown = " of " + std::to_string(size);
+      expectTrue(sentMost <= 40 * Seconds, std::to_string(sentMost) + shown);
+      expectEqual<size_t>(size, received.size());
+      for (const auto &[ip, n] : received)
+        expectTrue(n <= 40 * Seconds, std::to_string(n) + shown);
+      for (const auto &[ip, after] : firstAfter)
+        expectTrue(after <= (ip % 3 == 0 ? 1s : 4s), "told soon enough");
+    }
+  }
+
   void remindsWhileTheRegistryIsAway() {
-    Reminders it;
-    expectTrue(!it.due(false, Start), "all is well");
-    expectTrue(it.due(true, Start), "away");
-    expectTrue(!it.due(true, Start + 600ms), "a moment ago");
-    expectTrue(it.due(true, Start + 700ms), "again");
+    Reminders it(Self, "a");
+    it.learn(peers({1}), Start);
+    expectTrue(it.due(false, Start).empty(), "all is well");
+    expectTrue(it.due(true, Start) == std::vector{Address{1, 7}}, "away");
+    expectTrue(it.due(true, Start + 600ms).empty(), "a moment ago");
+    expectTrue(!it.due(true, Start + 700ms).empty(), "again");
     expectTrue(it.nextAt(false) == Time::max(), "nothing is due");
     expectTrue(it.nextAt(true) == Start + 1400ms, "the next one");
     section("those that have left are told more often", [&] {
@@ -128,7 +175,7 @@
   // at the same address.
   // Cause: only those with a record were told.
   void remembersWhoHasLeft() {
-    Reminders it;
+    Reminders it(Self, "a");
     it.learn(peers({1, 2}), Start);
     expectTrue(formerOf(it, Start).empty(), "nobody has");
     it.learn(peers({1}), Start + 1s);
