Calls to the registry are given up on silence, not on size

Each reads 480 kB of directory over a link that all share, gives up after 0.45 s and asks again, so that the link carries what nobody waits for any more.

Change: the time limit of a call counts anew with all that arrives, as for pages of other instances.

--- a/lib/edge/RegistryClient.cpp
+++ b/lib/edge/RegistryClient.cpp
@@ -58,7 +58,8 @@
       {.Method = std::move(call.Method),
        .Target = std::move(call.Target),
        .Body = std::move(call.Body),
-       .Timeout = timeout},
+       .Timeout = timeout,
+       .LimitsSilence = true},
       [this, kind, done = std::move(done)](const HttpClient::Result &result) {
         bool refused = result && (result->Status == HttpTooMany ||
                                   result->Status == HttpUnavailable);
--- a/lib/edge/RegistryClient.h
+++ b/lib/edge/RegistryClient.h
@@ -33,6 +33,7 @@
     Http.keepHeader(dialect.generationHeader());
   }
 
+  /// `timeout`: without any byte of the answer.
   void call(RegistryCall call, Duration timeout, HttpClient::Handler done);
   bool busy() const { return Http.busy(); }
   Time deadline() const { return Http.deadline(); }
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -42,6 +42,7 @@
   while (ids.size() < count)
     ids.insert(random() >> 24);
   std::vector<Registration> out;
+  out.reserve(count);
   for (uint64_t id : ids)
     out.push_back(
         {.Id = token::BackendId{id},
--- /dev/null
+++ b/tests/HttpTest.cpp
@@ -0,0 +1,89 @@
+// The edge's HTTP client against a server that is slow.
+
+#include "edge/Http.h"
+
+#include "Story.h"
+
+#include <httplib.h>
+#include <thread>
+
+using namespace story;
+using namespace chicory;
+using namespace chicory::edge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint32_t Loopback = 0x7f000001;
+constexpr size_t Pieces = 8;
+constexpr Duration PieceEvery = 100ms;
+
+/// Sends an answer piece by piece, or never goes on after the first.
+class SlowServer {
+public:
+  SlowServer() {
+    Http.Get("/slow", [](const auto &, auto &answer) { send(answer, Pieces); });
+    Http.Get("/stuck", [](const auto &, auto &answer) { send(answer, 1); });
+    Port = static_cast<uint16_t>(Http.bind_to_any_port("127.0.0.1"));
+    Worker = std::thread([this] { Http.listen_after_bind(); });
+    while (!Http.is_running())
+      std::this_thread::sleep_for(1ms);
+  }
+  ~SlowServer() {
+    Http.stop();
+    Worker.join();
+  }
+  uint16_t Port = 0;
+
+private:
+  static void send(httplib::Response &answer, size_t pieces) {
+    answer.set_content_provider(
+        Pieces, "text/plain",
+        [pieces](size_t offset, size_t, httplib::DataSink &sink) {
+          std::this_thread::sleep_for(offset < pieces ? PieceEvery : 1s);
+          return sink.write("x", 1);
+        });
+  }
+  httplib::Server Http;
+  std::thread Worker;
+};
+
+HttpClient::Result call(uint16_t port, HttpCall what) {
+  Loop loop;
+  HttpClient client(loop, Loopback, {.Ip = Loopback, .Port = port});
+  std::optional<HttpClient::Result> out;
+  client.call(what, [&](HttpClient::Result it) { out = std::move(it); });
+  while (!out) {
+    loop.wait(10ms);
+    client.expire(steadyNow());
+  }
+  return std::move(*out);
+}
+
+} // namespace
+
+class HttpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(waitsForAnAnswerThatKeepsComing);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against large answers that are given up and asked for again while
+  // hundreds of instances share a link: it carries them in vain.
+  void waitsForAnAnswerThatKeepsComing() {
+    SlowServer server;
+    HttpCall whole{.Target = "/slow", .Timeout = 400ms};
+    auto late = call(server.Port, whole);
+    expectTrue(!late && late.error() == HttpFailure::TimedOut,
+               "a limit on the whole answer ends it");
+    whole.LimitsSilence = true;
+    auto slow = call(server.Port, whole);
+    expectTrue(slow && slow->Body.size() == Pieces, "a limit on silence waits");
+    auto stuck =
+        call(server.Port,
+             {.Target = "/stuck", .Timeout = 400ms, .LimitsSilence = true});
+    expectTrue(!stuck && stuck.error() == HttpFailure::TimedOut,
+               "until nothing comes any more");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
--- a/tests/RegistrySamples.h
+++ b/tests/RegistrySamples.h
@@ -138,24 +138,28 @@
   }
 
 private:
+  static const rapidjson::Value &member(const rapidjson::Value &of,
+                                        const char *name) {
+    return of.FindMember(name)->value;
+  }
   NewsAnswer transact(const std::string &body) {
     rapidjson::Document json;
     json.Parse(body.c_str());
-    for (const auto &it : json["expect"].GetArray()) {
-      const Item *known = item(it["key"].GetString());
-      if ((known ? known->At.Revision : 0) != it["revision"].GetInt64())
+    for (const auto &it : member(json, "expect").GetArray()) {
+      const Item *known = item(member(it, "key").GetString());
+      if ((known ? known->At.Revision : 0) != member(it, "revision").GetInt64())
         return {.Status = 412, .Body = "{}"};
     }
-    for (const auto &it : json["puts"].GetArray()) {
-      int64_t lease = it["lease"].GetInt64();
+    for (const auto &it : member(json, "puts").GetArray()) {
+      int64_t lease = member(it, "lease").GetInt64();
       if (lease != 0 && !Leases.contains(lease))
         return {.Status = 404, .Body = "{}"};
       // The dialect reads what it has written.
       auto read = platform::StoreDialect().readItem(
           R"({"key":"x","revision":1,"value":")" +
-          std::string(it["value"].GetString()) + R"("})");
-      put(it["key"].GetString(), read->Value);
-      Items[it["key"].GetString()].Lease = lease;
+          std::string(member(it, "value").GetString()) + R"("})");
+      put(member(it, "key").GetString(), read->Value);
+      Items[member(it, "key").GetString()].Lease = lease;
     }
     return {.Status = Ok,
             .Body = R"({"revision":)" + std::to_string(Revision) + "}"};
