A push in many pieces to many receivers is read over TCP

Cause: whoever asks the registry tells up to 33 instances; 320 registrations compressed are 7 datagrams each, 230 at once and 280 kB, a tenth of a second of a link of 20 Mbit/s, which drops what it has no room for.

Change: at most 64 datagrams at once for a push of several pieces, else the push says that there are changes, and they are read over TCP.

Measured: at 10 to 1,280 registrations and 1 to 33 receivers never more than 64.

--- a/include/chicorybank/edge/PeerMessages.h
+++ b/include/chicorybank/edge/PeerMessages.h
@@ -55,9 +55,13 @@
 inline constexpr size_t MaxPeerMessage = 1200;
 /// Bytes of a push in one fragment; the rest of the datagram is its head.
 inline constexpr size_t FragmentBytes = 1150;
-/// A push of more pieces is read over TCP: the loss of any piece loses it all,
-/// and eight receivers get each.
+/// A push of more pieces is read over TCP: the loss of any piece loses it all.
 inline constexpr size_t MaxFragments = 16;
+/// A push of several pieces that would be more datagrams for all its receivers
+/// is read over TCP as well. They leave at once, and a link drops what it has
+/// no room for: 30 ms of a link of 20 Mbit/s. Then all receivers lack the last
+/// pieces, and nobody hears that there is news.
+inline constexpr size_t MaxBurst = 64;
 /// A push that is larger before it is compressed is read over TCP as well.
 inline constexpr size_t MaxPushBytes = 512 << 10;
 /// A page that is larger before it is compressed is refused. 20,000
@@ -69,10 +73,10 @@
 std::string encodePush(const NewsPush &push, size_t most = MaxPeerMessage);
 tl::expected<NewsPush, Reason> decodePush(std::span<const char> bytes);
 
-/// Encodes a push as one datagram or several. `message` tells the sender's
-/// messages apart.
-std::vector<std::string> encodeDatagrams(const NewsPush &push,
-                                         uint64_t message);
+/// Encodes a push as one datagram or several, for so many receivers. `message`
+/// tells the sender's messages apart.
+std::vector<std::string> encodeDatagrams(const NewsPush &push, uint64_t message,
+                                         size_t receivers);
 /// Reads the bytes of all fragments of a push.
 tl::expected<NewsPush, Reason> decodeFragments(std::span<const char> bytes);
 
--- a/lib/edge/NewsDuty.cpp
+++ b/lib/edge/NewsDuty.cpp
@@ -283,7 +283,8 @@
   PushedAsOf = Reader.currentAt();
   if (targets.empty())
     return;
-  for (const std::string &bytes : encodeDatagrams(push, ++MessagesSent))
+  for (const std::string &bytes :
+       encodeDatagrams(push, ++MessagesSent, targets.size()))
     for (Address it : targets)
       send(bytes, it);
 }
--- a/lib/edge/PeerMessages.cpp
+++ b/lib/edge/PeerMessages.cpp
@@ -132,17 +132,17 @@
   });
 }
 
-std::vector<std::string> encodeDatagrams(const NewsPush &push,
-                                         uint64_t message) {
+std::vector<std::string> encodeDatagrams(const NewsPush &push, uint64_t message,
+                                         size_t receivers) {
   bool tooLarge = isTooLarge(push);
   std::string bytes = packPush(push, !tooLarge);
   if (bytes.size() <= MaxPeerMessage)
     return {std::move(bytes)};
   bytes = compress(bytes);
-  if (bytes.size() > FragmentBytes * MaxFragments)
+  size_t count = (bytes.size() + FragmentBytes - 1) / FragmentBytes;
+  if (count > MaxFragments || (count > 1 && count * receivers > MaxBurst))
     return {packPush(push, false)};
   std::vector<std::string> out;
-  size_t count = (bytes.size() + FragmentBytes - 1) / FragmentBytes;
   for (size_t n = 0; n < count; ++n) {
     Packer one;
     one.list(7).number(FormatVersion);
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(carriesAPageOfEverything);
   CPPUNIT_TEST(pushesWhatAFleetRegistersInAPace);
   CPPUNIT_TEST(servesLargePagesOverSmallLinks);
+  CPPUNIT_TEST(sendsNoMoreAtOnceThanALinkTakes);
   CPPUNIT_TEST_SUITE_END();
 
   // Symptom: an instance runs out of memory.
@@ -120,7 +121,7 @@
 
   void splitsWhatIsTooLargeForADatagram() {
     NewsPush push = sample(5000);
-    auto datagrams = encodeDatagrams(push, 3);
+    auto datagrams = encodeDatagrams(push, 3, 1);
     expectTrue(datagrams.size() > 1, "several");
     std::string whole;
     for (const std::string &it : datagrams) {
@@ -134,7 +135,7 @@
     expectTrue(out && out->Complete && out->Page.Items == push.Page.Items,
                "the items");
     section("a small push is one datagram, as it is", [] {
-      auto one = encodeDatagrams(sample(10), 4);
+      auto one = encodeDatagrams(sample(10), 4, 1);
       expectEqual<size_t>(1, one.size());
       auto message = decodeDatagram(one[0]);
       expectTrue(message && std::holds_alternative<NewsPush>(*message),
@@ -158,13 +159,29 @@
   // registry.
   void pushesWhatAFleetRegistersInAPace() {
     for (size_t servers : {320U, 640U}) {
-      auto datagrams = encodeDatagrams(registrations(servers), 1);
+      auto datagrams = encodeDatagrams(registrations(servers), 1, 4);
       expectTrue(datagrams.size() > 1, "the items are in it");
       expectTrue(datagrams.size() <= MaxFragments,
                  std::to_string(datagrams.size()) + " datagrams");
     }
   }
 
+  // Guards against pushes whose last pieces are lost for all receivers: whoever
+  // has asked the registry tells the heads of five zones and its children.
+  void sendsNoMoreAtOnceThanALinkTakes() {
+    for (size_t servers : {10U, 320U, 640U, 1280U})
+      for (size_t receivers : {1U, 8U, 33U}) {
+        auto datagrams = encodeDatagrams(registrations(servers), 1, receivers);
+        expectTrue(datagrams.size() == 1 ||
+                       datagrams.size() * receivers <= MaxBurst,
+                   std::to_string(datagrams.size()) + " datagrams to " +
+                       std::to_string(receivers));
+      }
+    auto few = encodeDatagrams(registrations(320), 1, 33);
+    auto push = decodePush(few[0]);
+    expectTrue(push && !push->Complete, "they hear of it, and ask");
+  }
+
   // Guards against pages that eight receivers can't read from one sender. Its
   // link of 20 Mbit/s carries 2.5 MB a second.
   void servesLargePagesOverSmallLinks() {
@@ -178,7 +195,8 @@
   }
 
   void leavesOutWhatNeedsTooManyDatagrams() {
-    auto datagrams = encodeDatagrams(sample(FragmentBytes * MaxFragments), 3);
+    auto datagrams =
+        encodeDatagrams(sample(FragmentBytes * MaxFragments), 3, 1);
     expectEqual<size_t>(1, datagrams.size());
     auto push = decodePush(datagrams[0]);
     expectTrue(push && !push->Complete, "the receiver has to ask");
@@ -186,7 +204,7 @@
 
   void refusesDamagedFragments() {
     property("any change is read or refused", [] {
-      std::string bytes = encodeDatagrams(sample(3000), 3)[0];
+      std::string bytes = encodeDatagrams(sample(3000), 3, 1)[0];
       auto at = *rc::gen::inRange<size_t>(0, bytes.size());
       bytes[at] = *rc::gen::arbitrary<char>();
       auto message = decodeDatagram(bytes);
