News read from a neighbour is as current as the push that told of it

A push that left its changes out made its receiver read them, and what it read proved nothing; only the next push would, and by then there were other changes to read. It holds while pushes carry their changes, which is while the fleet is small.

Change: after reading, the copy is current as of the push's own time, if it has come to where the push leads in one generation and proves something at all.

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -133,7 +133,8 @@
 
   /// Another instance's push. `late`: it may have waited here for long, so it
   /// does not show that the news is current. Returns true where the changes
-  /// have to be read from the sender.
+  /// have to be read from the sender; what is read is then as current as the
+  /// push was.
   bool takePush(const NewsPush &push, bool late, Time now,
                 std::vector<token::Event> &out);
   /// What is known may be passed on to other instances.
@@ -211,6 +212,7 @@
     return !Complete && State == Phase::Listing && !Waiting && After.empty();
   }
   bool replacesFirstList(const NewsPush &push) const;
+  bool mustRead(const NewsPush &push) const;
   /// The push shows that the list which is due would find nothing.
   bool settles(const NewsPush &push) const;
   bool pageIsNext() const {
@@ -280,6 +282,13 @@
   /// revision may have been given out again.
   bool Unproven = false;
   Position ToldPosition;
+  /// The push whose changes are read from its sender: where they lead at least,
+  /// and as of when its sender knew them to be current.
+  struct Announced {
+    Position To;
+    Time AsOf;
+  };
+  std::optional<Announced> Announcement;
   /// When a list last lacked what the copy then held.
   Time HeldSince;
   Time OrdersHeldUntil;
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -361,12 +361,17 @@
 bool NewsReader::takePush(const NewsPush &push, bool late, Time now,
                           std::vector<token::Event> &out) {
   ++Stats.Pushes;
-  if (!Complete)
-    return !late && replacesFirstList(push);
-  Copy.adopt(push.Page.At, push.Digest);
-  bool behind = push.Page.At > Copy.position();
-  if (behind && (!push.Complete || push.Base > Copy.position()))
+  if (!Complete && (late || !replacesFirstList(push)))
+    return false;
+  if (Complete)
+    Copy.adopt(push.Page.At, push.Digest);
+  if (!Complete || mustRead(push)) {
+    Announcement.reset();
+    if (!late)
+      Announcement = {.To = push.Page.At, .AsOf = now - push.Age};
     return true;
+  }
+  bool behind = push.Page.At > Copy.position();
   if (push.Page.At.Generation != Copy.position().Generation) {
     ++Stats.OtherGenerations;
     return behind;
@@ -387,6 +392,12 @@
   return false;
 }
 
+/// The push lacks changes that this copy lacks as well.
+bool NewsReader::mustRead(const NewsPush &push) const {
+  return push.Page.At > Copy.position() &&
+         (!push.Complete || push.Base > Copy.position());
+}
+
 /// Everything can be read from the sender. Where all instances start at once,
 /// each list is megabytes on the registry's link and a call for each of its
 /// pages; one sees that link full for half a minute, and `registry_calls` with
@@ -411,15 +422,23 @@
                           std::vector<token::Event> &out) {
   ++Stats.Pulls;
   Stats.WholePulls += whole ? 1 : 0;
-  if (!whole)
-    return tell(Copy.apply(page, Faults), out);
+  std::optional<Announced> told = std::exchange(Announcement, std::nullopt);
   // A list that has begun meanwhile goes on.
   if (!Complete && !firstListIsAhead())
     return;
-  Unproven = false;
-  takeWhole(page, now, out);
+  if (whole) {
+    Unproven = false;
+    takeWhole(page, now, out);
+  } else {
+    tell(Copy.apply(page, Faults), out);
+  }
   if (!Complete)
     beginWatching(now, out);
+  bool holdsAll = told && Copy.position() >= told->To &&
+                  Copy.position().Generation == told->To.Generation &&
+                  !Unproven;
+  if (holdsAll)
+    showCurrent(told->AsOf, out);
 }
 
 void NewsReader::takeSeed(const ItemPage &page,
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(leavesOutMereRenewals);
   CPPUNIT_TEST(readsWhatAStartNeedsFirst);
   CPPUNIT_TEST(readsEverythingFromAPeerBeforeItLists);
+  CPPUNIT_TEST(isAsCurrentAsThePushWhoseChangesItRead);
   CPPUNIT_TEST(listsAtOnceWithoutADirectory);
   CPPUNIT_TEST(takesAnOldListForNoProof);
   CPPUNIT_TEST(waitsForNewsAfterAnOldList);
@@ -491,11 +492,54 @@
     expectTrue(reading.Reader.mirror().digest() ==
                    peer.Reader.mirror().digest(),
                "it is the same");
-    reading.Reader.takePush(push, false, reading.Now, reading.Events);
     expectTrue(!reading.Reader.away(reading.Now), "and current");
     expectTrue(reading.step(store).empty(), "no list follows");
   }
 
+  // Guards against news that is stale everywhere while servers register by the
+  // hundred: each push leaves its changes out, they are read from its sender,
+  // and by the next push there are others.
+  void isAsCurrentAsThePushWhoseChangesItRead() {
+    Store store;
+    store.server(1);
+    Reading peer;
+    peer.step(store);
+    Reading reading;
+    reading.step(store);
+    for (int n = 2; n <= 6; ++n) {
+      peer.Now += 1s;
+      reading.Now += 1s;
+      store.server(static_cast<uint64_t>(n));
+      peer.step(store);
+      NewsPush push = peer.Reader.push(InstanceId{1}, at(n), peer.Now);
+      push.Age = 100ms;
+      push.Complete = false;
+      push.Page.Items.clear();
+      expectTrue(
+          reading.Reader.takePush(push, false, reading.Now, reading.Events),
+          "it has to read");
+      auto page =
+          peer.Reader.mirror().since(reading.Reader.mirror().position());
+      reading.Reader.takePull(*page, false, reading.Now, reading.Events);
+      expectTrue(reading.Reader.currentAt() == reading.Now - 100ms,
+                 "and is as current as its sender was");
+    }
+    section("a push that may have waited", [&] {
+      Time before = reading.Reader.currentAt();
+      peer.Now += 1s;
+      store.server(7);
+      peer.step(store);
+      NewsPush push = peer.Reader.push(InstanceId{1}, at(7), peer.Now);
+      push.Complete = false;
+      reading.Now += 1s;
+      reading.Reader.takePush(push, true, reading.Now, reading.Events);
+      auto page =
+          peer.Reader.mirror().since(reading.Reader.mirror().position());
+      reading.Reader.takePull(*page, false, reading.Now, reading.Events);
+      expectTrue(reading.Reader.currentAt() == before, "shows nothing");
+    });
+  }
+
   // Pattern: 295 instances come back from a loss of power within 0.3 s.
   // Grounds: each needs the configuration and the servers to carry packets, and
   // neither the records of the others nor the rest of the registrations' text.
