A difference between copies has to last before it leads to a list

A copy that is listed while servers register holds some changes behind its position; it passes its checksum on, whoever is at that position sees a difference and lists as well, and tells the next.

Change: two copies have to differ at one position for two paces before this one is listed again; a comparison that agrees ends that.

listsAgainWhenCopiesDiffer sent one such push; it now sends two, a second apart, and still wants the list.

--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -213,6 +213,7 @@
   }
   bool replacesFirstList(const NewsPush &push) const;
   bool mustRead(const NewsPush &push) const;
+  void compare(bool differs, Time now);
   /// The push shows that the list which is due would find nothing.
   bool settles(const NewsPush &push) const;
   bool pageIsNext() const {
@@ -289,6 +290,8 @@
     Time AsOf;
   };
   std::optional<Announced> Announcement;
+  /// Since when other copies at this one's position have differed from it.
+  std::optional<Time> DiffersSince;
   /// When a list last lacked what the copy then held.
   Time HeldSince;
   Time OrdersHeldUntil;
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -13,6 +13,9 @@
 // old. All that it has to be is older than any limit.
 constexpr Duration OldestAge = std::chrono::hours(1);
 
+// A copy that differs from others' for so many paces has missed a change.
+constexpr int DiffersForPaces = 2;
+
 /// Takes out what earlier items said of a server.
 void forget(token::BackendsLearned &servers, token::BackendId id) {
   std::erase_if(servers.Present, [&](const token::Registration &other) {
@@ -384,14 +387,29 @@
     showCurrent(now - push.Age, out);
   if (!late && settles(push))
     State = Phase::Watching;
-  bool differs =
-      push.Page.At == Copy.position() && push.Digest != Copy.digest();
-  if (differs && !Waiting && State == Phase::Watching &&
-      now - LastList >= Times.RelistLeast)
-    startList(std::max(DueAt, now));
+  if (push.Page.At == Copy.position())
+    compare(push.Digest != Copy.digest(), now);
   return false;
 }
 
+/// Another copy at this position is the same as this one, or differs. One that
+/// was listed while things changed holds some changes behind its position, and
+/// has caught up by the next push; were that taken for a missed change, lists
+/// would lead to further lists while servers register by the hundred.
+void NewsReader::compare(bool differs, Time now) {
+  if (!differs) {
+    DiffersSince.reset();
+    return;
+  }
+  if (!DiffersSince)
+    DiffersSince = now;
+  if (now - *DiffersSince < DiffersForPaces * Times.Pace || Waiting ||
+      State != Phase::Watching || now - LastList < Times.RelistLeast)
+    return;
+  DiffersSince.reset();
+  startList(std::max(DueAt, now));
+}
+
 /// The push lacks changes that this copy lacks as well.
 bool NewsReader::mustRead(const NewsPush &push) const {
   return push.Page.At > Copy.position() &&
--- a/tests/NewsReaderTest.cpp
+++ b/tests/NewsReaderTest.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(readsWhatAStartNeedsFirst);
   CPPUNIT_TEST(readsEverythingFromAPeerBeforeItLists);
   CPPUNIT_TEST(isAsCurrentAsThePushWhoseChangesItRead);
+  CPPUNIT_TEST(listsForNoDifferenceThatPasses);
   CPPUNIT_TEST(listsAtOnceWithoutADirectory);
   CPPUNIT_TEST(takesAnOldListForNoProof);
   CPPUNIT_TEST(waitsForNewsAfterAnOldList);
@@ -291,10 +292,35 @@
       push.Digest ^= 1;
       saw.Now += 2s;
       saw.Reader.takePush(push, false, saw.Now, saw.Events);
+      saw.Now += 1s;
+      saw.Reader.takePush(push, false, saw.Now, saw.Events);
       expectEqual<std::string>("/-/kv-range?prefix=", saw.step(store));
     });
   }
 
+  // Guards against a list by each instance of a fleet, and another one by each
+  // because of it: a copy that was listed while servers registered holds some
+  // changes behind its position, and tells the others its checksum.
+  void listsForNoDifferenceThatPasses() {
+    Store store;
+    store.server(1);
+    Reading reading;
+    reading.step(store);
+    Reading peer;
+    peer.step(store);
+    for (int n = 0; n < 10; ++n) {
+      reading.Now += 500ms;
+      peer.Now = reading.Now;
+      NewsPush push =
+          peer.Reader.push(InstanceId{2}, store.position(), reading.Now);
+      push.Age = 0s;
+      push.Digest ^= n % 2 == 0 ? 1 : 0;
+      reading.Reader.takePush(push, false, reading.Now, reading.Events);
+      std::string target = reading.step(store);
+      expectTrue(!target.starts_with("/-/kv-range"), target);
+    }
+  }
+
   void asksASenderForWhatDidNotFit() {
     Store store;
     store.server(1);
