--- a/tests/fuzz/peer_message.cpp
+++ b/tests/fuzz/peer_message.cpp
@@ -1,4 +1,4 @@
-// Datagrams of other instances, and messages put together from pieces.
+// Datagrams of other instances, messages put together from pieces, and pages.
 
 #include "Fuzz.h"
 
@@ -13,6 +13,11 @@
     auto again = decodePush(encodePush(*push, SIZE_MAX));
     require(again && again->Page.Items == push->Page.Items);
   }
+  (void)decodeFragments(bytes);
+  if (auto page = decodePage(bytes)) {
+    auto again = decodePage(encodePage(*page));
+    require(again && again->Items == page->Items);
+  }
   auto message = decodeDatagram(bytes);
   if (!message)
     return 0;
