--- a/include/chicorybank/edge/NewsReader.h
+++ b/include/chicorybank/edge/NewsReader.h
@@ -24,8 +24,8 @@
 //   was asked for after the copy had a later position shows that the copy is
 //   not of the registry's history, whatever a header or a neighbour said: the
 //   registry itself decides;
-// - two copies at one revision with different checksums: one of them missed a
-//   change, and only the registry can tell which: listed again.
+// - two copies at one revision with different checksums, for two paces: one of
+//   them missed a change, and only the registry can tell which: listed again.
 
 #ifndef CHICORYBANK_EDGE_NEWSREADER_H
 #define CHICORYBANK_EDGE_NEWSREADER_H
