A start asks again for what was lost, and for other zones' servers by and by

Change: a lost call of a start is asked again. The call for the other parts waits for up to a microsecond for each pair of an instance and a server of its own zone (2 s here, 8 s at twice the size, where the parts take 5.5 s of the link; nothing on small deployments).

--- a/include/chicorybank/edge/StartSequence.h
+++ b/include/chicorybank/edge/StartSequence.h
@@ -40,6 +40,10 @@
   /// Above it a start that nobody tells anything would know too late who has
   /// ended.
   static constexpr Duration ListSpreadMost = std::chrono::seconds(20);
+  /// For each pair of an instance and a server of its own zone. 985 instances
+  /// with 2,000 servers in each of five zones read 172 MB of the other zones'
+  /// parts in two seconds: two thirds of a link of 1,000 Mbit/s.
+  static constexpr std::chrono::nanoseconds OtherPartsSpread{1000};
   /// So many list without a wait, and tell the others. One may be cut off or
   /// slow, and in each zone there should be one.
   static constexpr size_t EarlyLists = 8;
@@ -61,6 +65,9 @@
                                        Findings &findings,
                                        std::vector<Change> &out);
 
+  /// How long the call that comes now may wait at most.
+  Duration nextSpread() const;
+
   /// The servers that the directory named. Those that the first list lacks
   /// have to be told as ended, since no item of the copy stands for them.
   const std::set<token::BackendId> &named() const { return Named; }
--- a/lib/edge/NewsReader.cpp
+++ b/lib/edge/NewsReader.cpp
@@ -212,6 +212,9 @@
   bool directory = !changes.empty() && changes.front().What.Key.empty();
   if (!Seeded || !directory)
     tell(std::move(changes), out);
+  std::uniform_real_distribution<double> share(0, 1);
+  DueAt +=
+      std::chrono::duration_cast<Duration>(Start.nextSpread() * share(Random));
   if (Start.done())
     beginFirstList(now);
 }
@@ -242,7 +245,7 @@
   DueAt = now + std::chrono::duration_cast<Duration>(Retry * jitter(Random));
   Retry = std::min(Retry * 2, RetryMost);
   // A watch that was cut may have missed changes before its history went.
-  if (!AskedForPage && status == 0)
+  if (State != Phase::Starting && !AskedForPage && status == 0)
     startList(DueAt);
 }
 
--- a/lib/edge/StartSequence.cpp
+++ b/lib/edge/StartSequence.cpp
@@ -137,6 +137,15 @@
          static_cast<double>(std::max(Instances, EarlyLists));
 }
 
+Duration StartSequence::nextSpread() const {
+  if (State != Step::OtherDirectories || !LastPart.empty())
+    return Duration::zero();
+  auto pairs = static_cast<int64_t>(Instances * Named.size());
+  return std::min<Duration>(
+      ListSpreadMost,
+      std::chrono::duration_cast<Duration>(OtherPartsSpread * pairs));
+}
+
 Duration StartSequence::listSpread() const {
   return std::min(ListSpreadMost,
                   ListSpread * static_cast<int64_t>(Named.size()));
