--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -48,7 +48,7 @@
   std::thread Worker;
 };
 
-HttpClient::Result call(uint16_t port, HttpCall what) {
+HttpClient::Result call(uint16_t port, const HttpCall &what) {
   Loop loop;
   HttpClient client(loop, Loopback, {.Ip = Loopback, .Port = port});
   std::optional<HttpClient::Result> out;
