--- a/tests/NewsSpreadTest.cpp
+++ b/tests/NewsSpreadTest.cpp
@@ -201,7 +201,7 @@
   void asksOnceForAllBehindADeadInstance() {
     for (uint32_t each : {200U, 400U, 800U}) {
       Fleet all = fleet(2, each);
-      const PeerRecord *watcher = nullptr;
+      const PeerRecord *watcher = &all.begin()->second;
       for (const auto &[id, it] : all)
         if (spreadOf(it, all).patience() == 500ms)
           watcher = &it;
