--- a/include/chicorybank/edge/Mirror.h
+++ b/include/chicorybank/edge/Mirror.h
@@ -80,8 +80,8 @@
   size_t registrationCount(const std::string &zone) const;
   /// All registrations of backend servers that can be read, but those that are
   /// held; or those of a zone.
-  std::vector<token::Registration> registrations() const;
-  std::vector<token::Registration> registrations(const std::string &zone) const;
+  std::vector<token::Registration>
+  registrations(std::optional<std::string_view> zone = std::nullopt) const;
   /// Another copy has this checksum at a later revision. Where it is ours as
   /// well, nothing that matters has changed in between, so that this copy is
   /// as of that revision. False: they differ, or are of two generations, in
--- a/lib/edge/Mirror.cpp
+++ b/lib/edge/Mirror.cpp
@@ -318,24 +318,15 @@
 }
 
 std::vector<token::Registration>
-Mirror::registrations(const std::string &zone) const {
+Mirror::registrations(std::optional<std::string_view> zone) const {
   std::vector<token::Registration> out;
   for (const auto &[key, entry] : Items)
     if (const auto *it = std::get_if<token::Registration>(&entry.Meaning);
-        it && !entry.Held && it->Zone == zone)
+        it && !entry.Held && (!zone || it->Zone == *zone))
       out.push_back(*it);
   return out;
 }
 
-std::vector<token::Registration> Mirror::registrations() const {
-  std::vector<token::Registration> out;
-  for (const auto &[zone, digest] : ByZone) {
-    std::vector<token::Registration> part = registrations(zone);
-    out.insert(out.end(), part.begin(), part.end());
-  }
-  return out;
-}
-
 ZoneDigests Mirror::registrationDigests() const {
   ZoneDigests out;
   for (const auto &[zone, it] : ByZone)
--- a/lib/edge/NewsDuty.h
+++ b/lib/edge/NewsDuty.h
@@ -87,6 +87,7 @@
   void noteDrain(const token::ZoneDrainLearned &drain, InstanceId from);
   void passNews();
   void noteRegistry(Time now);
+
   Log &Lines;
   const EdgeSettings &Settings;
   const RegistryDialect &Dialect;
--- a/tests/RemindersTest.cpp
+++ b/tests/RemindersTest.cpp
@@ -4,6 +4,9 @@
 
 #include "Story.h"
 
+#include <algorithm>
+#include <iterator>
+#include <numeric>
 #include <set>
 
 using namespace story;
@@ -23,6 +26,17 @@
   return out;
 }
 
+/// So many instances, and those of them whose records still stand.
+std::pair<std::vector<uint32_t>, std::vector<uint32_t>>
+everyThirdLapsed(uint32_t size) {
+  std::vector<uint32_t> ids(size);
+  std::iota(ids.begin(), ids.end(), 1);
+  std::vector<uint32_t> registered;
+  std::copy_if(ids.begin(), ids.end(), std::back_inserter(registered),
+               [](uint32_t n) { return n % 3 != 0; });
+  return {ids, registered};
+}
+
 /// Those that a fresh copy would tell at a time.
 std::vector<Address> formerOf(Reminders it, Time now) {
   return it.dueFormer(true, now);
@@ -80,13 +94,7 @@
   // can't ask are told nothing.
   void tellsThoseWhomTheRegistryTurnsAway() {
     for (uint32_t size : {300U, 600U}) {
-      std::vector<uint32_t> ids;
-      std::vector<uint32_t> registered;
-      for (uint32_t n = 1; n <= size; ++n) {
-        ids.push_back(n);
-        if (n % 3 != 0)
-          registered.push_back(n);
-      }
+      auto [ids, registered] = everyThirdLapsed(size);
       Reminders it(Self, "a");
       it.learn(peers(ids), Start);
       it.learn(peers(registered), Start + 1s);
@@ -111,13 +119,7 @@
   // second, which grows with the square of the fleet.
   void tellsFewAtATimeWhateverTheFleet() {
     for (uint32_t size : {300U, 600U}) {
-      std::vector<uint32_t> ids;
-      std::vector<uint32_t> registered;
-      for (uint32_t n = 1; n <= size; ++n) {
-        ids.push_back(n);
-        if (n % 3 != 0)
-          registered.push_back(n);
-      }
+      auto [ids, registered] = everyThirdLapsed(size);
       constexpr int Seconds = 10;
       std::map<uint32_t, int> received;
       std::map<uint32_t, Duration> firstAfter;
