Log why a server is gone, by which registration, and no made-up age

Cause of the age: an instance that was seeded by another one knows all servers before any read of its own was confirmed as current; the age was then counted from the initial value, one hour before the clock's zero. The histogram of the age of routes took the same value.

Now: cause=registration_ended, or cause=address_taken with address, order, other and other_order; age_ms=unknown until the first confirmation, and nothing is added to the histogram. LogTest::describesWhyAServerIsGone did not compile before (no such fields).

--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -48,6 +48,16 @@
   bool operator==(const Registration &) const = default;
 };
 
+/// A conflict between the registrations of two servers at one address.
+struct AddressConflict {
+  Address Where;
+  RegistrationOrder Order;
+  BackendId Other;
+  RegistrationOrder OtherOrder;
+
+  bool operator==(const AddressConflict &) const = default;
+};
+
 /// The state of a backend server as this instance knows it.
 enum class BackendState : uint8_t {
   Ready,
@@ -156,6 +166,9 @@
 
   Backend &at(BackendIndex i) { return Entries[i]; }
   const Backend &at(BackendIndex i) const { return Entries[i]; }
+  /// Returns the conflict because of which a server is gone, or null if its
+  /// registration has ended.
+  const AddressConflict *lostConflict(BackendIndex i) const;
   /// Returns the server with this id, whatever its state, or `NoBackend`.
   BackendIndex find(BackendId id) const;
   /// Returns all servers with this token, including those that are gone.
@@ -177,6 +190,8 @@
   /// Assigns the address of the registration to this server. Returns false if a
   /// newer registration of another server holds the address.
   bool takeAddress(BackendIndex i, Time now);
+  /// Marks a server as gone because its address belongs to another one.
+  void markReplaced(BackendIndex i, BackendIndex by, Time now);
   void markGone(BackendIndex i, Time now);
   void resetObservations(BackendIndex i);
   void remove(BackendIndex i);
@@ -192,6 +207,7 @@
   std::unordered_map<uint64_t, BackendIndex> ByAddress;
   DrainedZones Drained;
   std::vector<BackendIndex> Ended;
+  std::unordered_map<BackendIndex, AddressConflict> LostConflicts;
   std::vector<BackendIndex> Restarted;
 };
 
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -231,10 +231,15 @@
   void reset(const FlowPacket &head, Reason why, BackendIndex i, Time now,
              Actions &actions);
   void drop(const FlowPacket &head, Reason why, Time now, Actions &actions);
-  /// Returns the age of the registry updates; zero until all registrations of
-  /// backend servers were read.
-  Duration updateAge(Time now) const {
-    return AllBackendsKnown ? now - CurrentAt : Duration::zero();
+  /// Returns the age of the registry updates: zero until all registrations of
+  /// backend servers were read, nothing until the updates were confirmed as
+  /// current.
+  std::optional<Duration> updateAge(Time now) const {
+    if (!AllBackendsKnown)
+      return Duration::zero();
+    if (CurrentAt == NeverCurrent)
+      return std::nullopt;
+    return now - CurrentAt;
   }
   /// Returns true if the registry updates are newer than `ApplyWithin`, the
   /// time within which a configuration must take effect.
@@ -269,7 +274,8 @@
   /// Holds the bytes of openings that a `Forward` refers to.
   std::vector<std::vector<std::byte>> Resent;
   std::mt19937_64 Random;
-  Time CurrentAt = Time{} - std::chrono::hours(1);
+  static constexpr Time NeverCurrent = Time{} - std::chrono::hours(1);
+  Time CurrentAt = NeverCurrent;
   /// Start of the period in which the updates have been current without a gap.
   Time CurrentSince;
   Time LastTick;
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -9,6 +9,7 @@
 #include "chicorybank/token/Types.h"
 #include "chicorybank/token/WarmUp.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -147,8 +148,13 @@
   std::string Zone;
   RuleVersion Rules;
   /// Age of the registry updates that the decision is based on; for
-  /// `backend_suspect`, the time since the server's last answer.
-  Duration Age = Duration::zero();
+  /// `backend_suspect`, the time since the server's last answer. Nothing if the
+  /// updates were never confirmed as current.
+  std::optional<Duration> Age = Duration::zero();
+  /// For `backend_gone`, the evidence; a string literal, empty otherwise.
+  const char *Cause = "";
+  /// For `backend_gone`, the conflict with another server's registration.
+  std::optional<AddressConflict> Conflict;
 };
 
 using Action =
--- a/lib/edge/Log.cpp
+++ b/lib/edge/Log.cpp
@@ -31,6 +31,23 @@
   return with("why", name);
 }
 
+namespace {
+
+std::string idText(token::BackendId id) {
+  constexpr size_t HexDigits = 24;
+  char hex[HexDigits];
+  std::snprintf(hex, sizeof(hex), "%llx",
+                static_cast<unsigned long long>(id.Value));
+  return hex;
+}
+
+std::string orderText(const token::RegistrationOrder &order) {
+  return std::to_string(order.Generation) + ':' +
+         std::to_string(order.Revision);
+}
+
+} // namespace
+
 LogLine decisionLine(const token::Decision &decision, Time now) {
   LogLine out(decision.What);
   if (decision.Why != Reason::None)
@@ -39,20 +56,25 @@
     out.with("caller", formatAddress(decision.Flow.Source));
     out.with("route", formatAddress(decision.Flow.Destination));
   }
-  if (decision.Backend.Value != 0) {
-    constexpr size_t HexDigits = 24;
-    char hex[HexDigits];
-    std::snprintf(hex, sizeof(hex), "%llx",
-                  static_cast<unsigned long long>(decision.Backend.Value));
-    out.with("server", hex);
-  }
+  if (decision.Backend.Value != 0)
+    out.with("server", idText(decision.Backend));
   if (!decision.Zone.empty())
     out.with("zone", decision.Zone);
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   out.with("rules", static_cast<int64_t>(decision.Rules.Value));
-  out.with("age_ms", duration_cast<milliseconds>(decision.Age).count());
+  if (decision.Age)
+    out.with("age_ms", duration_cast<milliseconds>(*decision.Age).count());
+  else
+    out.with("age_ms", "unknown");
   out.with("ago_ms", duration_cast<milliseconds>(now - decision.At).count());
+  if (*decision.Cause != '\0')
+    out.with("cause", decision.Cause);
+  if (const auto &it = decision.Conflict)
+    out.with("address", formatAddress(it->Where))
+        .with("order", orderText(it->Order))
+        .with("other", idText(it->Other))
+        .with("other_order", orderText(it->OtherOrder));
   return out;
 }
 
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -55,9 +55,10 @@
     resetObservations(i);
   if (!takeAddress(i, now)) {
     if (oldState != BackendState::Gone)
-      markGone(i, now);
+      markReplaced(i, ByAddress.at(info.Where.packed()), now);
     return false;
   }
+  LostConflicts.erase(i);
   // The server was considered gone but is still running.
   if (oldState == BackendState::Gone)
     ++LiveCount;
@@ -77,10 +78,25 @@
     return false;
   it->second = i;
   if (isConflict && Entries[owner].State != BackendState::Gone)
-    markGone(owner, now);
+    markReplaced(owner, i, now);
   return true;
 }
 
+void Backends::markReplaced(BackendIndex i, BackendIndex by, Time now) {
+  const Registration &own = Entries[i].Info;
+  const Registration &other = Entries[by].Info;
+  LostConflicts[i] = {.Where = own.Where,
+                      .Order = own.Order,
+                      .Other = other.Id,
+                      .OtherOrder = other.Order};
+  markGone(i, now);
+}
+
+const AddressConflict *Backends::lostConflict(BackendIndex i) const {
+  auto it = LostConflicts.find(i);
+  return it == LostConflicts.end() ? nullptr : &it->second;
+}
+
 void Backends::markGone(BackendIndex i, Time now) {
   Entries[i].State = BackendState::Gone;
   Entries[i].LostAt = now;
@@ -158,6 +174,7 @@
     ByAddress.erase(address);
   eraseValue(ByToken[tokenOf(info.Id).Value], i);
   eraseValue(ByService[info.Service.Value], i);
+  LostConflicts.erase(i);
   Entries[i] = {};
   Free.push_back(i);
 }
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -208,7 +208,8 @@
   if (!Routes.learn(event.Routes, now))
     return;
   WarmUps.setServices(event.Routes.WarmUps);
-  Stats.RoutesAge.add(updateAge(now));
+  if (auto age = updateAge(now))
+    Stats.RoutesAge.add(*age);
   addDecision({.What = "routes_in_force"}, now, actions);
 }
 
@@ -326,8 +327,12 @@
 
 void Core::expireServers(bool trusted, Time now, Actions &actions) {
   for (BackendIndex it : Servers.expire(trusted, now)) {
-    addDecision({.What = "backend_gone", .Backend = Servers.at(it).Info.Id},
-                now, actions);
+    Decision gone{.What = "backend_gone", .Backend = Servers.at(it).Info.Id};
+    const AddressConflict *conflict = Servers.lostConflict(it);
+    gone.Cause = conflict ? "address_taken" : "registration_ended";
+    if (conflict)
+      gone.Conflict = *conflict;
+    addDecision(gone, now, actions);
     if (Options.Enabled.GoneResets)
       resetFlowsOf(it, now, actions);
   }
--- a/tests/LogTest.cpp
+++ b/tests/LogTest.cpp
@@ -45,6 +45,7 @@
 class LogTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LogTest);
   CPPUNIT_TEST(describesADecision);
+  CPPUNIT_TEST(describesWhyAServerIsGone);
   CPPUNIT_TEST(quotesSpecialCharacters);
   CPPUNIT_TEST(limitsEachReasonSeparately);
   CPPUNIT_TEST_SUITE_END();
@@ -67,6 +68,27 @@
                              line.text());
   }
 
+  // Guards against a log that does not show which registration ended a server,
+  // and against an age in hours before the updates were confirmed as current.
+  void describesWhyAServerIsGone() {
+    Time now{10s};
+    LogLine line = decisionLine(
+        {.What = "backend_gone",
+         .At = now - 3ms,
+         .Backend = token::BackendId{0xab},
+         .Age = std::nullopt,
+         .Cause = "address_taken",
+         .Conflict = {{.Where = {.Ip = 10, .Port = 80},
+                       .Order = {.Generation = 2, .Revision = 61},
+                       .Other = token::BackendId{0xcd},
+                       .OtherOrder = {.Generation = 3, .Revision = 45}}}},
+        now);
+    expectEqual<std::string>(" server=ab rules=0 age_ms=unknown ago_ms=3 "
+                             "cause=address_taken address=0.0.0.10:80 "
+                             "order=2:61 other=cd other_order=3:45",
+                             line.text());
+  }
+
   void quotesSpecialCharacters() {
     expectEqual<std::string>(R"( a="" b="x \"y\" z")",
                              LogLine("event")
