Give writers their time to return again after each restore

Callers saw: open flows of a server that serves reset, or no new flows for it, when the registry is restored several times within a few seconds, each time from a copy that lacks what the server has written since the one before.

Cause: what a restored registry lacks is retained for 3 s (registrations; 6 s instances and drains) so that its writers can write again. The time began with the list that first lacked the item, and a later restore did not extend it unless more items were lacking than before. A registration written again between two restores, and lost by the second, had only what was left of the first time.

Ways: (a) the time begins anew with each restore while anything is retained; (b) a time for each item. (b) ends nothing sooner that matters, and costs 8 bytes an item. Items of servers that have really ended are retained longer only while restores follow each other.

--- a/include/chicorybank/edge/RegistryWatcher.h
+++ b/include/chicorybank/edge/RegistryWatcher.h
@@ -66,8 +66,8 @@
   /// The instance that watches lists everything this often.
   Duration RelistEvery = std::chrono::seconds(8);
   /// What a restored registry lacks is retained for this long after the last
-  /// list that added to the retained items, until its writers have written it
-  /// again. Servers write about once a second.
+  /// restore, or list that added to the retained items, until its writers have
+  /// written it again. Servers write about once a second.
   Duration RetainRegistrationsFor = std::chrono::seconds(3);
   /// Instances write with their next renewal.
   Duration RetainInstancesFor = std::chrono::seconds(6);
@@ -311,7 +311,8 @@
   std::optional<PendingPull> Pull;
   /// Since when other caches at this one's position have differed from it.
   std::optional<Time> DiffersSince;
-  /// When a list last lacked items that the cache then retained.
+  /// When a list last lacked items that the cache then retained, or the last
+  /// restore while it retained any.
   Time RetainedSince;
   Time RetainOperatorSettingsUntil;
   /// The operators have written since the last `replaceCache` or
--- a/lib/edge/RegistryWatcher.cpp
+++ b/lib/edge/RegistryWatcher.cpp
@@ -169,12 +169,14 @@
 
 void RegistryWatcher::replaceCache(const ItemPage &page, Time now,
                                    std::vector<token::Event> &out) {
-  if (Cache.position() != Position{} &&
-      Cache.position().Generation < page.At.Generation)
-    ++Stats.Restores;
+  bool restored = Cache.position() != Position{} &&
+                  Cache.position().Generation < page.At.Generation;
+  Stats.Restores += restored ? 1 : 0;
   size_t retainedBefore = Cache.retainedCount();
   appendEvents(Cache.replaceAll(page, PendingFindings), out);
-  if (Cache.retainedCount() > retainedBefore) {
+  // A further restore loses what was written again after the one before.
+  bool writeAgain = restored && Cache.retainedCount() != 0;
+  if (writeAgain || Cache.retainedCount() > retainedBefore) {
     RetainedSince = now;
     RetainOperatorSettingsUntil = now + Times.RetainOperatorSettingsFor;
   }
--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -291,6 +291,16 @@
                       {0, 1, 9},
                       {7, 1, 9},
                       {0, 12, 1}});
+    // Guards against ending a running server whose registration is lost by each
+    // of several restores in a row: the time in which it has to return began
+    // with the first one.
+    replay(1, {{0, 1, 27},
+               {0, 1, 1},
+               {7, 1, 1},
+               {0, 1, 24},
+               {0, 2, 28},
+               {0, 6, 19},
+               {0, 1, 1}});
     // Guards against a drain that a stale read reverts.
     replay(20400412336, {{0, 20, 5},
                          {0, 1, 4},
