End a server only if the other registration of its address is proven newer

Cause: the order of two registrations at one address was (generation of the read, revision of creation). The generation says when an item was read, not in which history it was written: a copy lists the ended registration of the former owner in a new generation, above the lost one of the server that has the address now. Instances that knew both kept the old order; those that had started in between had none to keep, and marked the living server as gone at once.

Ways: where the generation began (no answer tells it; the first list is an upper bound), born (absent in some deployments, clocks jump), answers on open flows (need traffic here; late packets show life that is past), and what revisions prove. Taken: the last, with the first list as the bound. A higher revision in a registry that includes the other one's history is newer; so is what was made after the first list of a later generation; a lower revision in a later generation shows nothing. Without proof both servers keep their flows, the likely older one gets no new ones (backend_contested), and the conflict ends by itself: a running server writes again and that registration proves itself, a dead one's ends.

The same elsewhere: directories carried their writer's order, and reads that may be stale that of any history; both now prove nothing by themselves. Items of a list were ordered in platform/, which only translates; the cache does it now.

--- a/include/chicorybank/edge/RegistryCache.h
+++ b/include/chicorybank/edge/RegistryCache.h
@@ -129,6 +129,7 @@
   void recordReported(const Item &item);
   bool endedAfter(const Item &item) const;
   bool mayHaveEnded(const Item &item, const ItemPage &page) const;
+  token::RegistrationOrder orderOf(const Item &item) const;
 
   const RegistryDialect &Dialect;
   Position At;
--- a/include/chicorybank/edge/StartupReads.h
+++ b/include/chicorybank/edge/StartupReads.h
@@ -99,11 +99,13 @@
                                                      Findings &findings,
                                                      std::vector<Change> &out);
   tl::expected<void, std::string> handleDirectory(const std::string &body,
+                                                  Generation generation,
                                                   std::vector<Change> &out);
   tl::expected<void, std::string>
-  handleOtherDirectories(const std::string &body, std::vector<Change> &out);
-  tl::expected<void, std::string> addServers(const Item &part,
-                                             std::vector<Change> &out);
+  handleOtherDirectories(const std::string &body, Generation generation,
+                         std::vector<Change> &out);
+  tl::expected<void, std::string>
+  addServers(const Item &part, Generation generation, std::vector<Change> &out);
 
   const RegistryDialect &Dialect;
   std::string Zone;
--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -15,14 +15,39 @@
 
 namespace chicory::token {
 
-/// Orders registrations by age. A restored registry assigns its revisions a
-/// second time, in a higher generation.
+/// What is known about the generation in which a registration was made.
+enum class RegistrationOrigin : uint8_t {
+  ThisGeneration, ///< The one in which it was read.
+  UpToThis,       ///< That one or an earlier one; the registry still holds it.
+  Uncertain,      ///< As above, but the registry may no longer hold it.
+};
+
+/// The age of a registration, as far as it can be compared.
+///
+/// A restored registry assigns its revisions a second time, in a higher
+/// generation, and it holds registrations of earlier generations. So a
+/// registration with a lower revision that is read in a later generation may
+/// have been made before the restore or after it.
+///
+///   RegistrationOrder held{.Generation = 2, .Revision = 61};
+///   RegistrationOrder copied{.Generation = 3, .Revision = 45,
+///                            .Origin = RegistrationOrigin::UpToThis};
+///   copied.provesNewerThan(held); // false
+///   held.provesNewerThan(copied); // false
+///   copied < held;                // true: most likely
 struct RegistrationOrder {
+  /// The registry's generation when the registration was read.
   uint64_t Generation = 0;
-  /// Zero means unknown.
+  /// The revision at which the registration was made; zero means unknown.
   uint64_t Revision = 0;
+  RegistrationOrigin Origin = RegistrationOrigin::ThisGeneration;
 
-  auto operator<=>(const RegistrationOrder &) const = default;
+  bool operator==(const RegistrationOrder &) const = default;
+  /// Returns true if this registration was certainly made after the other one.
+  bool provesNewerThan(const RegistrationOrder &other) const;
+  /// Returns true if this registration is the older one, certainly or most
+  /// likely. Compares two registrations; it is no order of three or more.
+  bool operator<(const RegistrationOrder &other) const;
 };
 
 /// A backend server as it has registered itself.
@@ -35,8 +60,8 @@
   bool Draining = false;
   /// Number of requests that the server handles at the same time.
   uint32_t Slots = 1;
-  /// Of two registrations at one address the newer one has the larger order. If
-  /// the orders are equal, nothing is known about their age.
+  /// Tells which of two registrations at one address is newer. If the orders
+  /// are equal, nothing is known about their age.
   RegistrationOrder Order;
   /// When the server's process started, in Unix milliseconds by the server's
   /// clock; zero if unknown. A server may restart under the same id, and then
@@ -88,6 +113,9 @@
   uint32_t Suspicions = 0;
   /// The operators drain the zone of the server.
   bool ZoneDrained = false;
+  /// Another server is registered at the same address, and that registration is
+  /// most likely the newer one.
+  bool AddressContested = false;
   /// When the warm-up ends, and when the server may next get a new flow before
   /// that.
   Time WarmUpUntil;
@@ -95,7 +123,7 @@
   Reachability Probes;
 
   bool acceptsNewFlows() const {
-    return State == BackendState::Ready && !ZoneDrained;
+    return State == BackendState::Ready && !ZoneDrained && !AddressContested;
   }
   bool isSuspect(Time now) const { return now < SuspectUntil; }
   /// Returns the load that this instance has placed on the server. An opening
@@ -134,6 +162,11 @@
   /// as gone at once. Probes can't detect this, since the new owner answers
   /// them.
   ///
+  /// If it is not certain which registration is older, as after a restore of
+  /// the registry, both servers keep their flows, and the one that is most
+  /// likely older gets no new ones. The conflict ends when one of the
+  /// registrations ends, or is made again.
+  ///
   /// A registration of a process that started before the known one arrived late
   /// and changes nothing. If the process started later, the server has
   /// restarted: all observations of it are discarded, and `takeRestarted`
@@ -158,6 +191,11 @@
   std::vector<BackendIndex> takeRestarted() {
     return std::exchange(Restarted, {});
   }
+  /// Returns the servers whose `AddressContested` has changed since the last
+  /// call.
+  std::vector<BackendIndex> takeContested() {
+    return std::exchange(ContestChanges, {});
+  }
   /// Removes servers that have been gone for longer than `GoneRetention`. With
   /// `trusted`, a missing registration proves that its server has ended:
   /// missing servers become gone. Returns the servers that became gone since
@@ -169,6 +207,8 @@
   /// Returns the conflict because of which a server is gone, or null if its
   /// registration has ended.
   const AddressConflict *lostConflict(BackendIndex i) const;
+  /// Returns the conflict of a server with the owner of its address.
+  AddressConflict conflictOf(BackendIndex i) const;
   /// Returns the server with this id, whatever its state, or `NoBackend`.
   BackendIndex find(BackendId id) const;
   /// Returns all servers with this token, including those that are gone.
@@ -187,11 +227,19 @@
 
 private:
   BackendIndex add(const Registration &info);
-  /// Assigns the address of the registration to this server. Returns false if a
-  /// newer registration of another server holds the address.
+  /// Assigns the address of the registration to this server, or contests it.
+  /// Returns false if the registration of the address's owner is certainly
+  /// newer.
   bool takeAddress(BackendIndex i, Time now);
+  /// Marks the servers as gone that contest the server's address and are
+  /// certainly older.
+  void endOlderClaims(BackendIndex i, Time now);
+  /// Assigns the address of a server to one that contests it.
+  void passOnAddress(BackendIndex i);
+  bool contests(BackendIndex i, Address where) const;
+  void setContested(BackendIndex i, bool contested);
   /// Marks a server as gone because its address belongs to another one.
-  void markReplaced(BackendIndex i, BackendIndex by, Time now);
+  void markReplaced(BackendIndex i, Time now);
   void markGone(BackendIndex i, Time now);
   void resetObservations(BackendIndex i);
   void remove(BackendIndex i);
@@ -203,8 +251,12 @@
   std::unordered_map<uint64_t, BackendIndex> ById;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByToken;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByService;
-  /// The server that registered an address last.
+  /// The owner of each address: the server with the newest registration, as far
+  /// as that is known.
   std::unordered_map<uint64_t, BackendIndex> ByAddress;
+  /// The servers with `AddressContested`.
+  std::vector<BackendIndex> Contested;
+  std::vector<BackendIndex> ContestChanges;
   DrainedZones Drained;
   std::vector<BackendIndex> Ended;
   std::unordered_map<BackendIndex, AddressConflict> LostConflicts;
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -76,6 +76,8 @@
   uint64_t Opened = 0;
   uint64_t Probes = 0;
   uint64_t ProbesFailed = 0;
+  /// Servers that got no new flows because their address was contested.
+  uint64_t ContestedAddresses = 0;
   /// Time from an opening sent to the caller's next packet.
   Histogram HandshakeTime;
   /// Time from the data of a request to the first sign of its answer.
@@ -201,6 +203,7 @@
   void checkOpenings(Time now, Actions &actions);
   void resetFlowsOfRestarted(int64_t readAt, Time now, Actions &actions);
   void expireServers(bool trusted, Time now, Actions &actions);
+  void logContest(BackendIndex i, Time now, Actions &actions);
   void resetFlowsOf(BackendIndex i, Time now, Actions &actions);
   void resetFlows(const std::vector<FlowKey> &keys, Reason why, Time now,
                   Actions &actions);
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -153,7 +153,8 @@
   std::optional<Duration> Age = Duration::zero();
   /// For `backend_gone`, the evidence; a string literal, empty otherwise.
   const char *Cause = "";
-  /// For `backend_gone`, the conflict with another server's registration.
+  /// For `backend_gone` and `backend_contested`, the conflict with another
+  /// server's registration.
   std::optional<AddressConflict> Conflict;
 };
 
--- a/lib/edge/Log.cpp
+++ b/lib/edge/Log.cpp
@@ -42,8 +42,17 @@
 }
 
 std::string orderText(const token::RegistrationOrder &order) {
-  return std::to_string(order.Generation) + ':' +
-         std::to_string(order.Revision);
+  std::string out =
+      std::to_string(order.Generation) + ':' + std::to_string(order.Revision);
+  switch (order.Origin) {
+  case token::RegistrationOrigin::ThisGeneration:
+    break;
+  case token::RegistrationOrigin::UpToThis:
+    return out + "/or_earlier";
+  case token::RegistrationOrigin::Uncertain:
+    return out + "/uncertain";
+  }
+  return out;
 }
 
 } // namespace
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -140,6 +140,10 @@
          edge.Core.Probes);
   scalar(out, "chicory_probes_failed_total", "counter",
          "Probes that were refused or timed out", edge.Core.ProbesFailed);
+  scalar(out, "chicory_contested_addresses_total", "counter",
+         "Backend servers that got no new flows because another registration "
+         "of their address is most likely newer",
+         edge.Core.ContestedAddresses);
   histogram(out, "chicory_handshake_seconds",
             "Time from forwarding an opening to the caller's next packet",
             edge.Core.HandshakeTime);
--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -184,6 +184,19 @@
   return std::max(MinHistoryItems, Items.size());
 }
 
+/// Items of the generation's first whole list may have been made before the
+/// restore that began it.
+token::RegistrationOrder RegistryCache::orderOf(const Item &item) const {
+  using token::RegistrationOrigin;
+  bool afterFirstList = FirstListAt.Generation == item.At.Generation &&
+                        item.Created > FirstListAt.Revision;
+  return {.Generation = item.At.Generation.Value,
+          .Revision = static_cast<uint64_t>(std::max<int64_t>(item.Created, 0)),
+          .Origin = item.MayBeStale  ? RegistrationOrigin::Uncertain
+                    : afterFirstList ? RegistrationOrigin::ThisGeneration
+                                     : RegistrationOrigin::UpToThis};
+}
+
 void RegistryCache::applyItem(const Item &item, const ItemPage &page,
                               Findings &findings, std::vector<Change> &out) {
   auto it = Items.find(item.Key);
@@ -196,6 +209,8 @@
     return;
   size_t faults = findings.items().size();
   ItemContent content = Dialect.translate(item, findings);
+  if (auto *server = std::get_if<token::Registration>(&content))
+    server->Order = orderOf(item);
   if (it == Items.end() && item.At <= OperatorSettingsAsOf &&
       std::holds_alternative<ZoneDrain>(content))
     return;
@@ -277,8 +292,11 @@
   if (page.At.Generation < At.Generation)
     return {};
   bool first = At == Position{} || At.Generation < page.At.Generation;
-  if (first)
+  if (first) {
     History.clear();
+    HistoryFrom = page.At;
+    FirstListAt = page.At;
+  }
   std::vector<Change> out;
   std::unordered_set<std::string> present;
   for (const Item &it : page.Items) {
@@ -299,10 +317,6 @@
   }
   for (const Item &it : ended)
     applyItem(it, page, findings, out);
-  if (first) {
-    HistoryFrom = page.At;
-    FirstListAt = page.At;
-  }
   At = std::max(At, page.At);
   return out;
 }
--- a/lib/edge/StartupReads.cpp
+++ b/lib/edge/StartupReads.cpp
@@ -29,7 +29,7 @@
                            std::vector<Change> &out) {
   switch (State) {
   case Step::Directory: {
-    auto result = handleDirectory(body, out);
+    auto result = handleDirectory(body, generation, out);
     State = DirectoryServers.empty() ? Step::Done : Step::OperatorSettings;
     return result;
   }
@@ -38,7 +38,7 @@
   case Step::RouteHistory:
     return handleRouteHistory(body, generation, cache, findings, out);
   case Step::OtherDirectories:
-    return handleOtherDirectories(body, out);
+    return handleOtherDirectories(body, generation, out);
   case Step::Done:
     break;
   }
@@ -91,20 +91,19 @@
 /// The servers become changes without an item: the cache holds only items of
 /// the registry.
 tl::expected<void, std::string>
-StartupReads::handleDirectory(const std::string &body,
+StartupReads::handleDirectory(const std::string &body, Generation generation,
                               std::vector<Change> &out) {
   if (body.empty())
     return {};
   auto item = Dialect.parseItem(body);
   if (!item)
     return tl::make_unexpected(item.error());
-  return addServers(*item, out);
+  return addServers(*item, generation, out);
 }
 
 /// A part that can't be parsed does not affect the others.
-tl::expected<void, std::string>
-StartupReads::handleOtherDirectories(const std::string &body,
-                                     std::vector<Change> &out) {
+tl::expected<void, std::string> StartupReads::handleOtherDirectories(
+    const std::string &body, Generation generation, std::vector<Change> &out) {
   State = Step::Done;
   auto page = Dialect.parsePage(body);
   if (!page)
@@ -112,7 +111,7 @@
   tl::expected<void, std::string> result;
   for (const Item &it : page->Items) {
     LastPartKey = it.Key;
-    if (auto one = addServers(it, out); !one)
+    if (auto one = addServers(it, generation, out); !one)
       result = one;
   }
   if (page->More && !page->Items.empty())
@@ -121,14 +120,20 @@
 }
 
 tl::expected<void, std::string>
-StartupReads::addServers(const Item &part, std::vector<Change> &out) {
+StartupReads::addServers(const Item &part, Generation generation,
+                         std::vector<Change> &out) {
   auto directory = decodeDirectory(part.Value);
   if (!directory)
     return tl::make_unexpected(std::string(reasonName(directory.error())));
   Instances = std::max(Instances, directory->Instances);
-  for (token::Registration &it : directory->Servers)
+  for (token::Registration &it : directory->Servers) {
+    // The writer may have known another history than the registry's present
+    // one.
+    it.Order.Generation = generation.Value;
+    it.Order.Origin = token::RegistrationOrigin::Uncertain;
     if (DirectoryServers.insert(it.Id).second)
       out.push_back({.Source = {}, .Content = std::move(it)});
+  }
   return {};
 }
 
--- a/lib/token/BackendSelection.cpp
+++ b/lib/token/BackendSelection.cpp
@@ -76,7 +76,8 @@
     }
     bool missing = Options.Enabled.MissingAsLastResort &&
                    backend.State == BackendState::Missing &&
-                   !backend.Info.Draining && !backend.ZoneDrained;
+                   !backend.Info.Draining && !backend.ZoneDrained &&
+                   !backend.AddressContested;
     if ((!backend.acceptsNewFlows() && !missing) ||
         !WarmUps.mayOpen(backend, now))
       continue;
@@ -128,7 +129,8 @@
       // A server that accepts new flows but was not chosen is warming up.
       if (Servers.at(i).acceptsNewFlows())
         return Reason::WarmingUp;
-      if (Servers.at(i).State == BackendState::Ready)
+      if (Servers.at(i).State == BackendState::Ready &&
+          Servers.at(i).ZoneDrained)
         out = Reason::ZoneDrained;
     }
   return out;
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -15,6 +15,24 @@
 
 } // namespace
 
+bool RegistrationOrder::provesNewerThan(const RegistrationOrder &other) const {
+  // Made in a generation that the other one's read did not know yet.
+  if (Origin == RegistrationOrigin::ThisGeneration &&
+      Generation > other.Generation)
+    return true;
+  // The registry held this one in a generation that includes all that was made
+  // before the other one. If it were the older one of the two, its revision
+  // would be the lower one.
+  return Origin != RegistrationOrigin::Uncertain &&
+         Generation >= other.Generation && Revision > other.Revision;
+}
+
+bool RegistrationOrder::operator<(const RegistrationOrder &other) const {
+  if (provesNewerThan(other) || other.provesNewerThan(*this))
+    return other.provesNewerThan(*this);
+  return Revision < other.Revision;
+}
+
 BackendIndex Backends::add(const Registration &info) {
   BackendIndex i = 0;
   if (Free.empty()) {
@@ -43,10 +61,13 @@
     return false;
   BackendState oldState = backend.State;
   RegistrationOrder oldOrder = backend.Info.Order;
+  if (!isNew && backend.Info.Where != info.Where)
+    passOnAddress(i);
   backend.Info = info;
-  // A restored registry lists an old registration in a new generation. The old
-  // registration must not replace the server that has the address now.
-  if (!isNew && oldOrder.Revision == info.Order.Revision)
+  // A restored registry lists an old registration in a new generation. What was
+  // known about its age is the better knowledge.
+  if (!isNew && oldOrder.Revision == info.Order.Revision &&
+      oldOrder.Origin != RegistrationOrigin::Uncertain)
     backend.Info.Order = oldOrder;
   backend.ZoneDrained = Drained.contains(info.Zone);
   if (info.StartedAtMs == 0)
@@ -55,7 +76,7 @@
     resetObservations(i);
   if (!takeAddress(i, now)) {
     if (oldState != BackendState::Gone)
-      markReplaced(i, ByAddress.at(info.Where.packed()), now);
+      markReplaced(i, now);
     return false;
   }
   LostConflicts.erase(i);
@@ -71,27 +92,81 @@
   auto it = ByAddress.try_emplace(own.Where.packed(), i).first;
   BackendIndex owner = it->second;
   const Registration &other = Entries[owner].Info;
-  if (owner == i)
-    return true;
-  bool isConflict = other.Where == own.Where && other.Order != own.Order;
-  if (isConflict && other.Order > own.Order)
+  bool isConflict =
+      owner != i && other.Where == own.Where && other.Order != own.Order;
+  if (isConflict && other.Order.provesNewerThan(own.Order))
     return false;
+  if (isConflict && Entries[owner].State != BackendState::Gone) {
+    bool isOlder = own.Order < other.Order;
+    setContested(i, isOlder);
+    if (isOlder)
+      return true;
+    it->second = i;
+    if (own.Order.provesNewerThan(other.Order))
+      markReplaced(owner, now);
+    else
+      setContested(owner, true);
+  }
+  setContested(i, false);
   it->second = i;
-  if (isConflict && Entries[owner].State != BackendState::Gone)
-    markReplaced(owner, i, now);
+  endOlderClaims(i, now);
   return true;
 }
 
-void Backends::markReplaced(BackendIndex i, BackendIndex by, Time now) {
+void Backends::endOlderClaims(BackendIndex i, Time now) {
   const Registration &own = Entries[i].Info;
-  const Registration &other = Entries[by].Info;
-  LostConflicts[i] = {.Where = own.Where,
-                      .Order = own.Order,
-                      .Other = other.Id,
-                      .OtherOrder = other.Order};
+  std::vector<BackendIndex> claims = Contested;
+  for (BackendIndex it : claims)
+    if (contests(it, own.Where) &&
+        own.Order.provesNewerThan(Entries[it].Info.Order))
+      markReplaced(it, now);
+}
+
+bool Backends::contests(BackendIndex i, Address where) const {
+  return Entries[i].AddressContested && Entries[i].Info.Where == where;
+}
+
+void Backends::passOnAddress(BackendIndex i) {
+  Address where = Entries[i].Info.Where;
+  auto address = ByAddress.find(where.packed());
+  if (address == ByAddress.end() || address->second != i)
+    return;
+  BackendIndex newest = NoBackend;
+  for (BackendIndex it : Contested)
+    if (contests(it, where) &&
+        (newest == NoBackend ||
+         Entries[newest].Info.Order < Entries[it].Info.Order))
+      newest = it;
+  if (newest == NoBackend)
+    return;
+  address->second = newest;
+  setContested(newest, false);
+}
+
+void Backends::setContested(BackendIndex i, bool contested) {
+  if (std::exchange(Entries[i].AddressContested, contested) == contested)
+    return;
+  if (contested)
+    Contested.push_back(i);
+  else
+    eraseValue(Contested, i);
+  ContestChanges.push_back(i);
+}
+
+void Backends::markReplaced(BackendIndex i, Time now) {
+  LostConflicts[i] = conflictOf(i);
   markGone(i, now);
 }
 
+AddressConflict Backends::conflictOf(BackendIndex i) const {
+  const Registration &own = Entries[i].Info;
+  const Registration &other = Entries[ByAddress.at(own.Where.packed())].Info;
+  return {.Where = own.Where,
+          .Order = own.Order,
+          .Other = other.Id,
+          .OtherOrder = other.Order};
+}
+
 const AddressConflict *Backends::lostConflict(BackendIndex i) const {
   auto it = LostConflicts.find(i);
   return it == LostConflicts.end() ? nullptr : &it->second;
@@ -102,6 +177,8 @@
   Entries[i].LostAt = now;
   --LiveCount;
   Ended.push_back(i);
+  setContested(i, false);
+  passOnAddress(i);
 }
 
 bool Backends::markMissing(BackendId id, Time now) {
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -326,7 +326,10 @@
 }
 
 void Core::expireServers(bool trusted, Time now, Actions &actions) {
-  for (BackendIndex it : Servers.expire(trusted, now)) {
+  std::vector<BackendIndex> ended = Servers.expire(trusted, now);
+  for (BackendIndex it : Servers.takeContested())
+    logContest(it, now, actions);
+  for (BackendIndex it : ended) {
     Decision gone{.What = "backend_gone", .Backend = Servers.at(it).Info.Id};
     const AddressConflict *conflict = Servers.lostConflict(it);
     gone.Cause = conflict ? "address_taken" : "registration_ended";
@@ -338,6 +341,17 @@
   }
 }
 
+void Core::logContest(BackendIndex i, Time now, Actions &actions) {
+  const Backend &backend = Servers.at(i);
+  Decision out{.What = "backend_uncontested", .Backend = backend.Info.Id};
+  if (backend.AddressContested) {
+    ++Stats.ContestedAddresses;
+    out.What = "backend_contested";
+    out.Conflict = Servers.conflictOf(i);
+  }
+  addDecision(out, now, actions);
+}
+
 void Core::resetFlowsOf(BackendIndex i, Time now, Actions &actions) {
   std::vector<FlowKey> ended =
       flowsOf(i, [](const FlowKey &, const FlowState &) { return true; });
--- a/tests/BackendsTest.cpp
+++ b/tests/BackendsTest.cpp
@@ -27,6 +27,10 @@
   CPPUNIT_TEST(marksTheEarlierOwnerOfAnAddressGone);
   CPPUNIT_TEST(keepsAServerThatChangedItsAddress);
   CPPUNIT_TEST(keepsTheNewerOwnerOfAnAddressAfterARestore);
+  CPPUNIT_TEST(provesOnlyWhatRevisionsCanProve);
+  CPPUNIT_TEST(keepsBothServersWhileTheirAgeIsUnknown);
+  CPPUNIT_TEST(passesOnTheAddressOfAServerThatEnds);
+  CPPUNIT_TEST(endsNoRunningServerBecauseOfItsAddress);
   CPPUNIT_TEST(detectsRestartsOfAServer);
   CPPUNIT_TEST(keepsAServerWithAnUnreadableRegistration);
   CPPUNIT_TEST_SUITE_END();
@@ -219,6 +223,184 @@
     });
   }
 
+  static Registration registrationAt(uint64_t id, RegistrationOrder order) {
+    Registration out = server(id);
+    out.Where = {.Ip = 10, .Port = 80};
+    out.Order = order;
+    return out;
+  }
+  static const Backend &backend(const Backends &list, uint64_t id) {
+    return list.at(list.find(BackendId{id}));
+  }
+
+  void provesOnlyWhatRevisionsCanProve() {
+    using enum RegistrationOrigin;
+    RegistrationOrder held{.Generation = 2, .Revision = 61};
+    section("of a restored registry", [&] {
+      RegistrationOrder copied{
+          .Generation = 3, .Revision = 45, .Origin = UpToThis};
+      expectTrue(!copied.provesNewerThan(held), "it may be from the copy");
+      expectTrue(!held.provesNewerThan(copied), "it may be made since");
+      expectTrue(copied < held && !(held < copied), "most likely it is older");
+      copied.Revision = 62;
+      expectTrue(copied.provesNewerThan(held), "a higher revision");
+      RegistrationOrder made{.Generation = 3, .Revision = 45};
+      expectTrue(made.provesNewerThan(held), "surely made since");
+    });
+    section("of one generation", [&] {
+      RegistrationOrder listed{
+          .Generation = 2, .Revision = 60, .Origin = UpToThis};
+      expectTrue(held.provesNewerThan(listed), "revisions decide");
+      expectTrue(!listed.provesNewerThan(held), "revisions decide");
+    });
+    section("from a stale read, even from before a restore", [&] {
+      RegistrationOrder stale{
+          .Generation = 3, .Revision = 70, .Origin = Uncertain};
+      expectTrue(!stale.provesNewerThan(held), "it may have been lost");
+      stale.Revision = 50;
+      expectTrue(!held.provesNewerThan(stale), "of a later generation");
+      held.Generation = 3;
+      expectTrue(held.provesNewerThan(stale), "revisions decide");
+    });
+  }
+
+  // Guards against resets of the flows of a running server by an instance that
+  // started after the earlier owner of its address had ended, and to which a
+  // restored registry lists that owner in a new generation.
+  void keepsBothServersWhileTheirAgeIsUnknown() {
+    Backends list({});
+    RegistrationOrder copied{.Generation = 3,
+                             .Revision = 45,
+                             .Origin = RegistrationOrigin::UpToThis};
+    list.applyRegistration(registrationAt(2, {.Generation = 2, .Revision = 61}),
+                           Start);
+    list.applyRegistration(registrationAt(1, copied), Start);
+    expectTrue(list.expire(true, Start).empty(), "no server has ended");
+    expectTrue(backend(list, 2).acceptsNewFlows(), "the likely owner does");
+    expectTrue(!backend(list, 1).acceptsNewFlows(), "the other one does not");
+    expectEqual<size_t>(1, list.takeContested().size());
+    AddressConflict conflict = list.conflictOf(list.find(BackendId{1}));
+    expectTrue(conflict.Other == BackendId{2}, "by whom");
+    section("read in the other order", [&] {
+      Backends other({});
+      other.applyRegistration(registrationAt(1, copied), Start);
+      other.applyRegistration(
+          registrationAt(2, {.Generation = 2, .Revision = 61}), Start);
+      expectTrue(other.expire(true, Start).empty(), "no server has ended");
+      expectTrue(backend(other, 2).acceptsNewFlows() &&
+                     !backend(other, 1).acceptsNewFlows(),
+                 "the result is the same");
+    });
+    section("the owner registers again", [&] {
+      list.applyRegistration(
+          registrationAt(2, {.Generation = 3, .Revision = 63}), Start);
+      expectTrue(backend(list, 1).State == BackendState::Gone, "it has ended");
+      expectTrue(backend(list, 2).State == BackendState::Ready, "it stays");
+      expectEqual<size_t>(1, list.expire(false, Start).size());
+      expectTrue(list.lostConflict(list.find(BackendId{1})) != nullptr,
+                 "because of the conflict");
+    });
+  }
+
+  // Guards against a server that never gets flows, since the registration that
+  // seemed to be newer was that of a server which had ended.
+  void passesOnTheAddressOfAServerThatEnds() {
+    auto conflict = [] {
+      Backends list({});
+      list.applyRegistration(
+          registrationAt(2, {.Generation = 2, .Revision = 61}), Start);
+      for (uint64_t id : {3, 4})
+        list.applyRegistration(
+            registrationAt(id, {.Generation = 3,
+                                .Revision = 40 + id,
+                                .Origin = RegistrationOrigin::UpToThis}),
+            Start);
+      return list;
+    };
+    section("its registration ends", [&] {
+      Backends list = conflict();
+      list.markMissing(BackendId{2}, Start);
+      expectTrue(!backend(list, 4).acceptsNewFlows(), "it may be back");
+      list.expire(true, Start);
+      expectTrue(backend(list, 4).acceptsNewFlows(), "the newer one");
+    });
+    section("it moves to another address", [&] {
+      Backends list = conflict();
+      Registration moved = registrationAt(2, {.Generation = 2, .Revision = 61});
+      moved.Where.Ip = 11;
+      list.applyRegistration(moved, Start);
+      expectTrue(backend(list, 2).acceptsNewFlows(), "it stays");
+      expectTrue(backend(list, 4).acceptsNewFlows(), "the newer one");
+    });
+  }
+
+  // Servers follow each other at one address, and the registry is restored
+  // between their registrations. An instance knows any of them, and reads any
+  // others in any order: those that the registry holds, and at the end the
+  // running one.
+  void endsNoRunningServerBecauseOfItsAddress() {
+    property("the running server is never gone", [] {
+      struct Made {
+        uint64_t Id;
+        uint64_t Generation;
+        uint64_t Revision;
+      };
+      // What each generation's history holds, and where the generation began.
+      std::vector<std::vector<Made>> histories(1);
+      std::vector<uint64_t> begins{0};
+      uint64_t revision = 0;
+      uint64_t id = 0;
+      auto make = [&] {
+        revision += *rc::gen::inRange<uint64_t>(1, 5);
+        histories.back().push_back(
+            {.Id = ++id, .Generation = begins.size(), .Revision = revision});
+      };
+      Backends list({});
+      auto read = [&](size_t generation, const Made &it, bool stale) {
+        using enum RegistrationOrigin;
+        bool surely =
+            it.Revision > begins[generation - 1] && *rc::gen::arbitrary<bool>();
+        list.applyRegistration(
+            registrationAt(it.Id, {.Generation = generation,
+                                   .Revision = it.Revision,
+                                   .Origin = stale    ? Uncertain
+                                             : surely ? ThisGeneration
+                                                      : UpToThis}),
+            Start);
+      };
+      auto readSome = [&] {
+        size_t now = begins.size();
+        for (int n = *rc::gen::inRange(0, 4); n > 0; --n) {
+          bool stale = *rc::gen::arbitrary<bool>();
+          size_t of = stale ? *rc::gen::inRange<size_t>(0, now) : now - 1;
+          if (!histories[of].empty())
+            read(now, *rc::gen::elementOf(histories[of]), stale);
+        }
+      };
+      make();
+      for (int n = *rc::gen::inRange(1, 8); n > 0; --n) {
+        readSome();
+        if (*rc::gen::arbitrary<bool>()) {
+          make();
+          continue;
+        }
+        // A restore keeps the registrations up to some revision.
+        revision = *rc::gen::inRange<uint64_t>(0, revision + 1);
+        std::vector<Made> kept = histories.back();
+        std::erase_if(kept,
+                      [&](const Made &it) { return it.Revision > revision; });
+        histories.push_back(std::move(kept));
+        begins.push_back(revision);
+      }
+      // The last of all servers is the running one, and it writes again.
+      make();
+      const Made running = histories.back().back();
+      read(begins.size(), running, false);
+      readSome();
+      RC_ASSERT(backend(list, running.Id).State == BackendState::Ready);
+    });
+  }
+
   void detectsSharedTokens() {
     Backends list({});
     constexpr uint64_t High = uint64_t{1} << 32;
--- a/tests/LogTest.cpp
+++ b/tests/LogTest.cpp
@@ -78,14 +78,17 @@
          .Backend = token::BackendId{0xab},
          .Age = std::nullopt,
          .Cause = "address_taken",
-         .Conflict = {{.Where = {.Ip = 10, .Port = 80},
-                       .Order = {.Generation = 2, .Revision = 61},
-                       .Other = token::BackendId{0xcd},
-                       .OtherOrder = {.Generation = 3, .Revision = 45}}}},
+         .Conflict =
+             {{.Where = {.Ip = 10, .Port = 80},
+               .Order = {.Generation = 2, .Revision = 61},
+               .Other = token::BackendId{0xcd},
+               .OtherOrder = {.Generation = 3,
+                              .Revision = 45,
+                              .Origin = token::RegistrationOrigin::UpToThis}}}},
         now);
     expectEqual<std::string>(" server=ab rules=0 age_ms=unknown ago_ms=3 "
                              "cause=address_taken address=0.0.0.10:80 "
-                             "order=2:61 other=cd other_order=3:45",
+                             "order=2:61 other=cd other_order=3:45/or_earlier",
                              line.text());
   }
 
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(comparesNothingAcrossGenerations);
   CPPUNIT_TEST(passesOnAReturnFromAStaleRead);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
+  CPPUNIT_TEST(knowsWhichRegistrationsWereMadeSinceARestore);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a server that stays ended for an instance that saw its
@@ -71,6 +72,50 @@
     expectEqual<size_t>(1, cache.changesSince(restored)->Items.size());
   }
 
+  // Guards against taking a registration that a restored registry lists for a
+  // newer one than those of the generation before.
+  void knowsWhichRegistrationsWereMadeSinceARestore() {
+    using enum token::RegistrationOrigin;
+    auto orderOf = [](const std::vector<Change> &changes) {
+      return std::get<token::Registration>(changes.back().Content).Order;
+    };
+    Store store;
+    store.server(1);
+    Store backup = store;
+    RegistryCache cache(Dialect);
+    Findings findings;
+    section("from a read that may be stale", [&] {
+      ItemPage stale = store.list();
+      stale.markMayBeStale();
+      RegistryCache other(Dialect);
+      expectTrue(orderOf(other.replaceAll(stale, findings)).Origin == Uncertain,
+                 "the registry may have lost it");
+    });
+    expectTrue(orderOf(cache.replaceAll(store.list(), findings)) ==
+                   token::RegistrationOrder{
+                       .Generation = 1, .Revision = 1, .Origin = UpToThis},
+               "the first list");
+    store.server(2);
+    expectTrue(orderOf(cache.apply(store.since(1), findings)) ==
+                   token::RegistrationOrder{.Generation = 1, .Revision = 2},
+               "made since");
+    section("an instance that has never known the server", [&] {
+      RegistryCache other(Dialect);
+      Store before;
+      before.config(1);
+      other.replaceAll(before.list(), findings);
+      store.restore(backup);
+      expectTrue(orderOf(other.replaceAll(store.list(), findings)) ==
+                     token::RegistrationOrder{
+                         .Generation = 2, .Revision = 1, .Origin = UpToThis},
+                 "it may be from before the restore");
+      store.server(3);
+      expectTrue(orderOf(other.apply(store.since(1), findings)).Origin ==
+                     ThisGeneration,
+                 "made since the restore");
+    });
+  }
+
   // Guards against taking the contents from before a restore for those after
   // it: by a checksum, by changes, by a page, or by what was passed on.
   void comparesNothingAcrossGenerations() {
--- a/tests/RegistryWatcherTest.cpp
+++ b/tests/RegistryWatcherTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(isNotCurrentAfterAStaleList);
   CPPUNIT_TEST(waitsForAPushAfterAStaleList);
   CPPUNIT_TEST(knowsTheNewerOfTwoServersAtOneAddress);
+  CPPUNIT_TEST(provesNoAgeByTheDirectory);
   CPPUNIT_TEST(endsServersThatOnlyTheDirectoryNames);
   CPPUNIT_TEST(startsDespiteABadDirectory);
   CPPUNIT_TEST(adoptsALaterRevisionWithTheSameContent);
@@ -680,6 +681,20 @@
     expectTrue(orders[2] < orders[9], "the successor is newer");
   }
 
+  // Guards against resets of flows because a directory from before a restore
+  // names a server that has never existed in the registry's present history.
+  void provesNoAgeByTheDirectory() {
+    Store store = withDirectory();
+    WatcherFixture fixture;
+    fixture.start(store);
+    auto learned = fixture.take<token::BackendsLearned>();
+    expectTrue(!learned.empty(), "the directory's servers");
+    for (const token::Registration &it : learned.front().Present)
+      expectTrue(it.Order.Origin == token::RegistrationOrigin::Uncertain &&
+                     it.Order.Generation == store.generation().Value,
+                 "of this generation or any earlier one");
+  }
+
   // A push of the instance that watches arrives within a poll interval. Guards
   // against a call for changes right after the list, by each of 735 starts in a
   // day.
--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -2,9 +2,13 @@
 
 #include "chicorybank/edge/RegistryWatcher.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "RegistrySamples.h"
 #include "RestoreModel.h"
 #include "Story.h"
+#include "TokenSamples.h"
 
 using namespace story;
 using namespace samples::registry;
@@ -59,6 +63,7 @@
   CPPUNIT_TEST(listsWhenAWatchSpansARestore);
   CPPUNIT_TEST(isNotCurrentAfterAPushOfAnEarlierGeneration);
   CPPUNIT_TEST(trustsTheRegistrysListOverAnyHeader);
+  CPPUNIT_TEST(keepsTheFlowsOfAServerWhoseAddressHadAnotherOwner);
   CPPUNIT_TEST(keepsItsGuaranteesUnderAnyFailures);
   CPPUNIT_TEST(keepsItsGuaranteesInRecordedFailures);
   CPPUNIT_TEST(doesNotOverloadTheRegistryAfterARestore);
@@ -90,6 +95,10 @@
       return model.drainZone(true);
     case 11:
       return model.drainZone(false);
+    case 16:
+      return model.crashServer();
+    case 17:
+      return model.restartAll();
     default:
       return model.setConfig();
     }
@@ -97,14 +106,14 @@
 
   // Restores, stale reads, cuts, suspensions and restarts in any order. A
   // version in force is never replaced by an older one and is in force in time,
-  // drains are known, no running server is ended, and in the end all caches and
-  // records are as they should be.
+  // drains are known, no running server is ended, even if its address had
+  // another owner, and in the end all caches and records are as they should be.
   void keepsItsGuaranteesUnderAnyFailures() {
     property("restores among other failures", [] {
       RestoreModel model({.Seed = *rc::gen::arbitrary<uint64_t>()});
       model.run(3s);
       auto steps =
-          *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16));
+          *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 18));
       for (int it : steps) {
         perform(model, it, *rc::gen::inRange(1, 60) * RestoreModel::Step);
         model.run(*rc::gen::inRange(1, 30) * RestoreModel::Step);
@@ -250,6 +259,62 @@
     });
   }
 
+  // Guards against resets of the flows of a running server, and new flows to a
+  // server that has crashed: all instances start after the registration of the
+  // crashed server has ended, and a restore brings it back while that of the
+  // server which has the address now is lost.
+  void keepsTheFlowsOfAServerWhoseAddressHadAnotherOwner() {
+    using samples::token::filter;
+    Store store;
+    store.put("op/config", R"({"version":1,"routes":[{"host":"198.18.0.1",)"
+                           R"("prefix":"/443/","service":"records"}]})");
+    store.server(1);
+    Store backup = store;
+    store.instance("10.9.0.1");
+    store.serverAt(1, 9);
+    store.remove("servers/i-1");
+    WatcherFixture fixture;
+    samples::token::Instance instance;
+    auto pass = [&](Duration time) {
+      token::Actions out;
+      for (Duration done{}; done < time; done += 50ms) {
+        fixture.Now = instance.Now += 50ms;
+        while (!fixture.step(store).empty())
+          ;
+        for (const token::Event &it : std::exchange(fixture.Events, {}))
+          std::ranges::copy(instance.handle(it), std::back_inserter(out));
+        std::ranges::copy(instance.handle(token::Tick{}),
+                          std::back_inserter(out));
+      }
+      return out;
+    };
+    pass(500ms);
+    samples::token::Caller caller;
+    expectEqual<uint64_t>(
+        9, samples::token::sentTo(instance.packet(caller.open())));
+    caller.Echo = token::tokenOf(token::BackendId{9});
+    instance.packet(caller.ack());
+    store.restore(backup);
+    expectTrue(filter<token::ResetFlow>(pass(1s)).empty(), "no reset");
+    expectEqual<uint64_t>(
+        9, samples::token::sentTo(instance.packet(caller.data(1))));
+    for (uint16_t port = 2000; port < 2020; ++port)
+      expectEqual<uint64_t>(
+          9, samples::token::sentTo(
+                 instance.packet(samples::token::Caller{.Port = port}.open())));
+    section("the server writes again", [&] {
+      store.serverAt(1, 9);
+      expectTrue(filter<token::ResetFlow>(pass(4s)).empty(), "no reset");
+      const token::Backends &servers = instance.UnderTest.backends();
+      expectTrue(servers.at(servers.find(token::BackendId{9})).State ==
+                     token::BackendState::Ready,
+                 "it is ready");
+      expectTrue(servers.at(servers.find(token::BackendId{1})).State ==
+                     token::BackendState::Gone,
+                 "the crashed one is gone");
+    });
+  }
+
   struct RecordedStep {
     int Action;
     int DurationSteps;
--- a/tests/TokenCoreTest.cpp
+++ b/tests/TokenCoreTest.cpp
@@ -40,8 +40,50 @@
   CPPUNIT_TEST(resetsFlowsFromBeforeARestart);
   CPPUNIT_TEST(ignoresImplausibleClocks);
   CPPUNIT_TEST(sendsNoNewFlowsToAServerWithAnUnreadableRegistration);
+  CPPUNIT_TEST(sendsNoNewFlowsToTheFormerOwnerOfAnAddress);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against new flows that are lost at a server which has ended, and
+  // against packets for it at its address's present owner, a server of the same
+  // service or of another one. A restored registry lists the former owner
+  // again.
+  void sendsNoNewFlowsToTheFormerOwnerOfAnAddress() {
+    for (ServiceId service : {Records, Certificates}) {
+      Instance instance;
+      Registration owner = server(2);
+      owner.Order = {.Generation = 2, .Revision = 61};
+      Registration former = server(1, service);
+      former.Where = owner.Where;
+      former.Order = {.Generation = 3,
+                      .Revision = 45,
+                      .Origin = RegistrationOrigin::UpToThis};
+      instance.configure({owner});
+      Caller open;
+      instance.packet(open.open());
+      open.Echo = tokenOf(owner.Id);
+      instance.packet(open.ack());
+      Actions actions = instance.handle(BackendsLearned{.Present = {former}});
+      auto decisions = filter<Decision>(actions);
+      expectTrue(std::ranges::any_of(decisions,
+                                     [&](const Decision &it) {
+                                       return it.What ==
+                                                  std::string_view(
+                                                      "backend_contested") &&
+                                              it.Conflict->Other == owner.Id;
+                                     }),
+                 "the conflict is logged");
+      expectEqual<uint64_t>(1, instance.UnderTest.stats().ContestedAddresses);
+      expectTrue(filter<ResetFlow>(instance.pass(2s)).empty(), "no reset");
+      expectEqual<uint64_t>(2, sentTo(instance.packet(open.data(1))));
+      for (uint16_t port = 2000; port < 2050; ++port) {
+        expectEqual<uint64_t>(
+            2, sentTo(instance.packet(Caller{.Port = port}.open())));
+        Caller other{.Port = port, .Route = Papers};
+        expectEqual<uint64_t>(0, sentTo(instance.packet(other.open())));
+      }
+    }
+  }
+
   void forwardsAFlowAtAnyInstance() {
     Instance opener;
     Instance other;
