--- a/tests/CoreTest.cpp
+++ b/tests/CoreTest.cpp
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(servesOnBothSidesOfAPartition);
   CPPUNIT_TEST(keepsAFlowWhoseFirstTriedTargetIsUnreachable);
   CPPUNIT_TEST(joinsWhileThePlatformIsDown);
+  CPPUNIT_TEST(replacesMembersAfterThePlatformIsRestored);
   CPPUNIT_TEST(resetsASilentFlow);
   CPPUNIT_TEST(refusesNewFlowsWhenTheTableIsFull);
   CPPUNIT_TEST(dropsPacketsBeforeItKnowsAnyHome);
@@ -319,6 +320,29 @@
     expectAllFlowsWork(deployment);
   }
 
+  // Guards against flows whose requests are refused for ever, since their owner
+  // has died and nobody can write a members document: the platform was restored
+  // to one older than those that the instances know.
+  void replacesMembersAfterThePlatformIsRestored() {
+    FakeDeployment deployment(6, 31);
+    expectTrue(deployment.settle(), "it settles");
+    chicory::MembersDocument older = deployment.members();
+    deployment.add();
+    expectTrue(deployment.settle(), "it settles with one instance more");
+    expectTrue(deployment.members().Version > older.Version,
+               "there is a newer document");
+    deployment.restoreMembers(older);
+    deployment.kill(InstanceId{1});
+    expectTrue(deployment.runUntil(
+                   [&] {
+                     const auto &members = deployment.members().Members;
+                     return std::ranges::find(members, InstanceId{1}) ==
+                            members.end();
+                   },
+                   30s),
+               "the dead instance is no longer a member");
+  }
+
   // Guards against a client that shows outdated figures for hours on a flow
   // that looks open: a device between the ends has lost the flow's state, the
   // caller keeps sending, and the target's other flows work. Only a comparison
--- a/tests/FakeDeployment.cpp
+++ b/tests/FakeDeployment.cpp
@@ -194,6 +194,12 @@
   }
 }
 
+void FakeDeployment::restoreMembers(const MembersDocument &older) {
+  Members = older;
+  for (InstanceId it : ids())
+    learnMembers(it);
+}
+
 void FakeDeployment::learnMembers(InstanceId id) {
   if (!PartitionSide.contains(id) && Members.Version != MembersVersion{})
     deliver(id, MembersLearned{.Document = Members});
--- a/tests/FakeDeployment.h
+++ b/tests/FakeDeployment.h
@@ -69,6 +69,8 @@
   // --- platform
   bool PlatformUp = true;
   const MembersDocument &members() const { return Members; }
+  /// The platform is restored from a copy that holds an older document.
+  void restoreMembers(const MembersDocument &older);
   void submit(RuleSet rules);
   /// The instances that get new rules from the platform; empty for all.
   std::set<InstanceId> Watchers;
