standin-wire: do not cut off an instance that has not started yet

Evidence, of a run that hung: instances 1 and 2 log peer_refused and peer_heard of 3 in turn, without end; the list of listening sockets has none at the advertised addresses of 2 and 3 while both instances listen and are heard. The relay of standin-wire stops listening for good when the instance behind it refuses a connection, as a killed process does. Instances are started one after the other, so the first one's connection may come before the second one listens: the load widens that gap. Ruled out: the product's reconnecting, which goes on (a refusal every 0.35 s), and ports taken twice (each has one owner).

The relay now stops listening only if its instance had listened before; a killed instance is refused as it was.

--- a/standins/wire/Main.cpp
+++ b/standins/wire/Main.cpp
@@ -60,6 +60,8 @@
 struct TcpRelay {
   FileDescriptor Listener;
   Address To;
+  /// The instance behind it has listened.
+  bool HasStarted = false;
 };
 
 class Wire {
@@ -121,16 +123,19 @@
   if (!client.valid())
     return;
   auto server = chicory::connectTcp(0, relay.To);
-  // On loopback, connecting to a port without a listener fails at once. The
-  // relay then stops listening, so that later connections are refused too.
+  // On loopback, connecting to a port without a listener fails at once. If the
+  // instance has ended, the relay stops listening, so that later connections
+  // are refused too; an instance that has not started yet will listen.
   bool refused = !server || connectFailed(*server);
-  if (refused)
+  if (refused && relay.HasStarted)
     relay.Listener.reset();
-  else
-    Connections.push_back({.Client = std::move(client),
-                           .Server = std::move(*server),
-                           .ClientIp = ip,
-                           .ServerIp = relay.To.Ip});
+  if (refused)
+    return;
+  relay.HasStarted = true;
+  Connections.push_back({.Client = std::move(client),
+                         .Server = std::move(*server),
+                         .ClientIp = ip,
+                         .ServerIp = relay.To.Ip});
 }
 
 bool Wire::receivePending(const FileDescriptor &from, std::string &pending) {
