Draw reused addresses by themselves; list a lease taken over from before a restore

keepsServersWhoseAddressesHadOtherOwners draws little else than crashes, starts and restores.

An instance that starts takes its predecessor's lease from a read that may be stale; the read carries the present generation and is from before the restore, which has given the lease's number to another instance. Its own record lapses and is written anew; no flow is touched.

--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -65,7 +65,9 @@
   CPPUNIT_TEST(trustsTheRegistrysListOverAnyHeader);
   CPPUNIT_TEST(keepsTheFlowsOfAServerWhoseAddressHadAnotherOwner);
   CPPUNIT_TEST(keepsItsGuaranteesUnderAnyFailures);
+  CPPUNIT_TEST(keepsServersWhoseAddressesHadOtherOwners);
   CPPUNIT_TEST(keepsItsGuaranteesInRecordedFailures);
+  CPPUNIT_TEST(renewsNoLeaseOfAnotherInstanceAfterAStart);
   CPPUNIT_TEST(doesNotOverloadTheRegistryAfterARestore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -124,6 +126,34 @@
     });
   }
 
+  // As above, with little else than what makes registrations of one address
+  // meet: crashes, starts and restores, far enough from each other that the
+  // addresses of crashed servers are given away and registrations expire.
+  void keepsServersWhoseAddressesHadOtherOwners() {
+    property("restores among reused addresses", [] {
+      constexpr int Restore = 0;
+      constexpr int CutFromRegistry = 2;
+      constexpr int RestartOne = 5;
+      constexpr int EndServer = 9;
+      constexpr int CrashServer = 16;
+      constexpr int RestartAll = 17;
+      RestoreModel model({.Instances = 3,
+                          .Servers = 3,
+                          .Seed = *rc::gen::arbitrary<uint64_t>()});
+      model.run(3s);
+      auto steps = *rc::gen::container<std::vector<int>>(
+          rc::gen::element(Restore, Restore, CutFromRegistry, RestartOne,
+                           EndServer, CrashServer, CrashServer, RestartAll));
+      for (int it : steps) {
+        perform(model, it, *rc::gen::inRange(1, 100) * RestoreModel::Step);
+        model.run(*rc::gen::inRange(1, 60) * RestoreModel::Step);
+      }
+      model.run(30s);
+      RC_ASSERT(model.violation() == "");
+      RC_ASSERT(model.inconsistency() == "");
+    });
+  }
+
   // A zone is drained, and the store is restored from before that. While it is
   // unavailable, the operators end this drain and drain another zone; a
   // restored store has no trace of the ended drain. Guards against refusing all
@@ -322,7 +352,11 @@
   };
 
   static void replay(uint64_t seed, const std::vector<RecordedStep> &steps) {
-    RestoreModel model({.Seed = seed});
+    replay(RestoreModelOptions{.Seed = seed}, steps);
+  }
+  static void replay(RestoreModelOptions options,
+                     const std::vector<RecordedStep> &steps) {
+    RestoreModel model(options);
     model.run(3s);
     for (const RecordedStep &it : steps) {
       perform(model, it.Action, it.DurationSteps * RestoreModel::Step);
@@ -341,6 +375,16 @@
             {2, 18, 12}, {0, 1, 7},   {0, 1, 14}, {0, 1, 8},  {0, 1, 11},
             {0, 7, 8},   {6, 1, 11},  {0, 1, 3},  {6, 1, 14}, {6, 1, 5},
             {6, 1, 6},   {2, 1, 1},   {2, 1, 10}, {0, 1, 1}});
+    // Guards against counting a running server as gone because a restored
+    // registry lists the former owner of its address.
+    replay(0, {{16, 1, 1},
+               {0, 1, 23},
+               {2, 1, 9},
+               {2, 1, 4},
+               {2, 1, 12},
+               {2, 1, 25},
+               {5, 1, 1},
+               {0, 1, 1}});
     // Guards against counting a running server as gone after a restore: it
     // registers again under the revision that its lost registration had, and
     // only the instance that watches hears of it.
@@ -385,6 +429,14 @@
                       {2, 1, 8},  {5, 1, 1}});
   }
 
+  // Guards against an instance that keeps the lease of another one instead of
+  // its own: after a start it takes its predecessor's lease from a stale read,
+  // and a restore has given the lease's number to another instance since.
+  void renewsNoLeaseOfAnotherInstanceAfterAStart() {
+    replay({.Instances = 3, .Servers = 3, .Seed = 2},
+           {{0, 60, 32}, {16, 1, 1}, {5, 1, 1}});
+  }
+
   // 86 instances that started together learn of a restore with their renewals.
   // A list by each of them would be 86 calls within a second or two; a look-up
   // and a renewal by each, spread as renewals are, and one list are enough.
