Read settings with misplaced quotes without undefined behaviour

What operators could see: a settings file with quotes inside a value that has none, and a character beyond ASCII later, is read with undefined behaviour.

Cause: the TOML library must not see such characters outside of strings and comments, and NonAsciiFinder skipped the rest of the file, since it took each quote for the beginning of a string. In text that is not valid TOML that is wrong.

Change: the text is parsed once with an underscore for each character beyond ASCII, which the library reads without its tables. If that is valid, quotes are where TOML has them, and NonAsciiFinder's answer is exact. Weighed: a refusal of all characters beyond ASCII; names of zones and services in strings may have them.

--- a/lib/base/TomlReader.cpp
+++ b/lib/base/TomlReader.cpp
@@ -50,6 +50,9 @@
 /// Without this check, the TOML library has undefined behaviour for some of
 /// these characters between values, where an operator may have pasted one. The
 /// program then ends while it reads the file.
+///
+/// The strings are exact only if the rest of the text is valid TOML: see
+/// `maskNonAscii`.
 class NonAsciiFinder {
 public:
   explicit NonAsciiFinder(std::string_view text) : Text(text) {}
@@ -100,6 +103,29 @@
   size_t At = 0;
 };
 
+/// Replaces each character beyond ASCII by an underscore, which keeps columns.
+///
+/// The TOML library reads the result without undefined behaviour. If it is
+/// valid, `NonAsciiFinder` has found the strings and comments of the original.
+std::string maskNonAscii(std::string_view text) {
+  std::string masked;
+  masked.reserve(text.size());
+  for (char it : text) {
+    auto byte = static_cast<unsigned char>(it);
+    bool continues = (byte & 0xc0) == 0x80; // The further bytes of UTF-8.
+    if (!continues)
+      masked += byte > 0x7f ? '_' : it;
+  }
+  return masked;
+}
+
+void addParseError(const toml::parse_error &error, const std::string &file,
+                   Findings &findings) {
+  const toml::source_position &begin = error.source().begin;
+  findings.add({.File = file, .Line = begin.line, .Column = begin.column},
+               std::string(error.description()));
+}
+
 } // namespace
 
 std::optional<toml::table>
@@ -109,14 +135,14 @@
                          "beyond ASCII");
     return std::nullopt;
   }
+  if (auto masked = toml::parse(maskNonAscii(text), file); !masked) {
+    addParseError(masked.error(), file, findings);
+    return std::nullopt;
+  }
   toml::parse_result result = toml::parse(text, file);
   if (result)
     return std::move(result).table();
-  const toml::parse_error &error = result.error();
-  findings.add({.File = file,
-                .Line = error.source().begin.line,
-                .Column = error.source().begin.column},
-               std::string(error.description()));
+  addParseError(result.error(), file, findings);
   return std::nullopt;
 }
 
--- a/tests/EdgeSettingsTest.cpp
+++ b/tests/EdgeSettingsTest.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(appliesChangesThatNeedNoRestart);
   CPPUNIT_TEST(disablesMechanisms);
   CPPUNIT_TEST(refusesCharactersBetweenValues);
+  CPPUNIT_TEST(refusesCharactersAfterMisplacedQuotes);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a crash or wrong values when a no-break space was pasted
@@ -81,6 +82,16 @@
     expectEqual<std::string>("Šiška \" – é", named->Zone);
   }
 
+  // Guards against the same undefined behaviour when quotes within a value
+  // without quotes make the rest of the file look like a string.
+  void refusesCharactersAfterMisplacedQuotes() {
+    for (const char *quotes : {"'", "\"", "\"\"\"\"\"", "'''"}) {
+      std::string found = findingsOf(std::string("[instance]\nname =+/") +
+                                     quotes + "\xef\xbb\xbd[");
+      expectTrue(found.starts_with("edge.toml:2:"), found);
+    }
+  }
+
   void disablesMechanisms() {
     Findings findings;
     expectTrue(disabledMechanisms(*read(Good, findings)).empty(),
