Take a stale list to be as old as its oldest page

What callers could see: flows of a running server are reset by an instance that has just started.

Cause: the pages of a list that may be stale come from replicas that are behind by different times. The list counted as complete as of its first page. A server that registered between an older second page and the first one was ended as of the first page. Its registration was then older than its end, so the next current list did not bring it back until it was renewed.

Change: the list's position is the lowest of its pages. For a current list that is the first page's, as before. Weighed: listing again whenever the positions differ; with hundreds of starts that costs as many lists again. Elsewhere: the operator settings' pages are read from the leader, so later pages are newer; directories have no position.

--- a/lib/edge/RegistryWatcher.cpp
+++ b/lib/edge/RegistryWatcher.cpp
@@ -292,6 +292,9 @@
     startList(now);
     return false;
   }
+  // A later page of a stale list may be older than the first one. The list
+  // proves an end only as of its oldest page.
+  ListSoFar.At = std::min(ListSoFar.At, page.At);
   ListSoFar.Items.insert(ListSoFar.Items.end(), page.Items.begin(),
                          page.Items.end());
   if (page.More && !page.Items.empty()) {
--- a/tests/RegistryWatcherTest.cpp
+++ b/tests/RegistryWatcherTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(doesNotListForATemporaryDifference);
   CPPUNIT_TEST(listsAtOnceWithoutADirectory);
   CPPUNIT_TEST(isNotCurrentAfterAStaleList);
+  CPPUNIT_TEST(keepsServersThatALaterPageOfAStaleListLacks);
   CPPUNIT_TEST(waitsForAPushAfterAStaleList);
   CPPUNIT_TEST(knowsTheNewerOfTwoServersAtOneAddress);
   CPPUNIT_TEST(provesNoAgeByTheDirectory);
@@ -695,6 +696,46 @@
                  "of this generation or any earlier one");
   }
 
+  // The pages of a stale list come from replicas that are behind by different
+  // times. Guards against an instance that counts a running server as gone
+  // because it registered between an old second page and the first one.
+  void keepsServersThatALaterPageOfAStaleListLacks() {
+    Store store = withDirectory();
+    Store older = store;
+    store.server(3);
+    WatcherFixture fixture;
+    fixture.fail();
+    fixture.Watcher.applySeed(store.list(), fixture.Events);
+    Position seeded = store.position();
+    store.server(1, "ready", 2);
+    fixture.start(store);
+    fixture.Now = fixture.Watcher.nextAt();
+    fixture.take<token::BackendsLearned>();
+    auto answerPage = [&](const Store &replica, size_t begin, size_t end) {
+      auto call = fixture.Watcher.next(fixture.Now);
+      expectTrue(call->Call.Target.find("serializable") != std::string::npos,
+                 "the list may be stale");
+      ItemPage page = replica.list();
+      page.More = end < page.Items.size();
+      page.Items = {page.Items.begin() + static_cast<std::ptrdiff_t>(begin),
+                    page.Items.begin() + static_cast<std::ptrdiff_t>(end)};
+      fixture.answer({.Status = Ok,
+                      .Body = bareBody(page),
+                      .Generation = replica.generation()});
+    };
+    answerPage(store, 0, 3);
+    answerPage(older, 3, older.list().Items.size());
+    expectTrue(fixture.take<token::BackendsLearned>().empty(),
+               "no server has ended");
+    expectTrue(fixture.Watcher.cache().position() == seeded,
+               "the list is not complete as of its newest page");
+    section("the next list has the server", [&] {
+      fixture.Now += 2s;
+      expectEqual<std::string>("/-/kv-range?prefix=", fixture.step(store));
+      expectEqual<size_t>(3, fixture.Watcher.cache().registrationCount());
+    });
+  }
+
   // A push of the instance that watches arrives within a poll interval. Guards
   // against a call for changes right after the list, by each of 735 starts in a
   // day.
