Pass on what a later page of a list was the first to have

What callers could see: flows of a running server are reset about 2.3 s after an outage of the store, by instances that never learned of its return.

Cause: a list counts as of its first page. A registration that returns while the list is read is in a later page, under a later revision, but the history recorded it as learned at the list's position, and changesSince that position left it out. The watch that followed reported the same write, which is nothing new. So a push moved others past the return without it.

The new test, before the change: "expected 2, got 1".

Change: an item counts as learned no earlier than it was written. Weighed: the position of the last page for the list; a watch from there would miss changes in earlier pages.

--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -121,8 +121,10 @@
 } // namespace
 
 void RegistryCache::addToHistory(const Item &item, Position learnedAt) {
+  // A later page of a list has items from after the list's position.
+  // `changesSince` this position must have them.
   History.push_back({.Key = item.Key,
-                     .LearnedAt = learnedAt,
+                     .LearnedAt = std::max(learnedAt, item.At),
                      .EndedAt = item.Deleted ? item.At : Position{}});
   if (History.size() <= historyLimit())
     return;
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(comparesNothingAcrossGenerations);
   CPPUNIT_TEST(passesOnAReturnFromAStaleRead);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
+  CPPUNIT_TEST(passesOnWhatALaterPageOfAListHas);
   CPPUNIT_TEST(knowsWhichRegistrationsWereMadeSinceARestore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -72,6 +73,28 @@
     expectEqual<size_t>(1, cache.changesSince(restored)->Items.size());
   }
 
+  // A server registers between two pages of a list. Guards against instances
+  // that never learn of it: the watch reports nothing new to the one that has
+  // listed, which passes on the watch's position without the server.
+  void passesOnWhatALaterPageOfAListHas() {
+    Store store;
+    store.server(1);
+    ItemPage list = store.list();
+    RegistryCache other(Dialect);
+    Findings findings;
+    other.replaceAll(list, findings);
+    store.server(2);
+    list.Items.push_back(*store.item("servers/i-2"));
+    RegistryCache cache(Dialect);
+    cache.replaceAll(list, findings);
+    Position listed = cache.position();
+    cache.apply(store.since(listed.Revision), findings);
+    other.apply(*cache.changesSince(listed), findings);
+    expectTrue(other.position() == cache.position(), "as new as the other");
+    expectEqual<size_t>(2, other.registrationCount());
+    expectEqual(cache.digest(), other.digest());
+  }
+
   // Guards against taking a registration that a restored registry lists for a
   // newer one than those of the generation before.
   void knowsWhichRegistrationsWereMadeSinceARestore() {
