Draw outages after which servers register again, with delays and pages

Defaults are off, so the recorded seeds play as before. A registration that ended in an outage may be reported as ended until it is back; that a running server counts as gone stays a violation throughout.

keepsServersThatRegisterAgainAfterAnOutage draws them among starts.

--- a/tests/RestoreTest.cpp
+++ b/tests/RestoreTest.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(keepsTheFlowsOfAServerWhoseAddressHadAnotherOwner);
   CPPUNIT_TEST(keepsItsGuaranteesUnderAnyFailures);
   CPPUNIT_TEST(keepsServersWhoseAddressesHadOtherOwners);
+  CPPUNIT_TEST(keepsServersThatRegisterAgainAfterAnOutage);
   CPPUNIT_TEST(keepsItsGuaranteesInRecordedFailures);
   CPPUNIT_TEST(renewsNoLeaseOfAnotherInstanceAfterAStart);
   CPPUNIT_TEST(doesNotOverloadTheRegistryAfterARestore);
@@ -101,6 +102,8 @@
       return model.crashServer();
     case 17:
       return model.restartAll();
+    case 18:
+      return model.outage(2s + time);
     default:
       return model.setConfig();
     }
@@ -154,6 +157,36 @@
     });
   }
 
+  // Instances start while servers register again after an outage, and read
+  // pages of different ages.
+  void keepsServersThatRegisterAgainAfterAnOutage() {
+    property("starts after outages of the registry", [] {
+      constexpr int CutFromOthers = 3;
+      constexpr int Suspend = 4;
+      constexpr int RestartOne = 5;
+      constexpr int AddServer = 7;
+      constexpr int EndServer = 9;
+      constexpr int RestartAll = 17;
+      constexpr int Outage = 18;
+      RestoreModel model(
+          {.Instances = 4,
+           .Seed = *rc::gen::arbitrary<uint64_t>(),
+           .PageItems = *rc::gen::inRange<size_t>(0, 8),
+           .DelayMax = *rc::gen::inRange(0, 8) * RestoreModel::Step});
+      model.run(4s);
+      auto steps = *rc::gen::container<std::vector<int>>(
+          rc::gen::element(CutFromOthers, Suspend, RestartOne, RestartOne,
+                           AddServer, EndServer, RestartAll, Outage, Outage));
+      for (int it : steps) {
+        perform(model, it, *rc::gen::inRange(1, 100) * RestoreModel::Step);
+        model.run(*rc::gen::inRange(1, 100) * RestoreModel::Step);
+      }
+      model.run(30s);
+      RC_ASSERT(model.violation() == "");
+      RC_ASSERT(model.inconsistency() == "");
+    });
+  }
+
   // A zone is drained, and the store is restored from before that. While it is
   // unavailable, the operators end this drain and drain another zone; a
   // restored store has no trace of the ended drain. Guards against refusing all
