Use a lease that was taken over only once the cache confirms it

What callers saw: nothing; the record of an instance lapses for some seconds after a restore of the store and a start, so that it gets updates late.

Cause: an instance that starts reads its predecessor's record from a replica and takes its lease over. If the read was from before a restore, the number of the lease may belong to another instance since, and that one's lease is renewed instead.

Change: before the lease is used, the local cache, current as of a time after the read, has to show the same write of the record. Otherwise, or if the cache is not current within VisibleWithin, the record is read from the leader. Weighed: a current read at each start, at ten times the price of a stale one.

InstanceRegistrarTest expected the renewal in the call after the stale read, which is the fault. Its three tests now let the cache show the record first, and usesNoLeaseFromAnUnconfirmedRead expects no use of the lease before that.

--- a/include/chicorybank/edge/InstanceRegistrar.h
+++ b/include/chicorybank/edge/InstanceRegistrar.h
@@ -3,8 +3,12 @@
 // A process that restarts before the lease of its predecessor has ended takes
 // over the predecessor's record and lease. This takes two cheap calls instead
 // of two writes; on a day with many restarts, the writes of starting instances
-// account for most calls. The record is read with `Freshness::MayBeStale`; if
-// the lease has ended since, its renewal shows that.
+// account for most calls. The record is read with `Freshness::MayBeStale`. If
+// the registry was restored since, the lease's number may belong to another
+// instance, so the lease is used only once the local cache, which other
+// instances keep current, shows the same write of the record. If it does not in
+// time, the record is read again with `Freshness::Current`. If the lease has
+// ended, its renewal shows that.
 //
 // A record can end unnoticed. If the lease expires, as while the process is
 // suspended, renewals fail with 404. If the registry removes the record alone,
@@ -30,7 +34,9 @@
   /// instances cost as much as 7 other calls a second.
   Duration RenewInterval = std::chrono::milliseconds(4500);
   Duration RetryAfter = std::chrono::milliseconds(1500);
-  /// The longest time until a written record is in the local cache.
+  /// The longest time until a written record is in the local cache. A lease
+  /// that is taken over lasts longer than that: its owner has renewed it within
+  /// `RenewInterval` before it stopped.
   Duration VisibleWithin = std::chrono::seconds(4);
 };
 
@@ -49,6 +55,9 @@
   /// none, with what it should be. The cache holds everything up to `asOf`:
   /// while updates are late, a record that was written is not in it yet.
   void checkRecord(const PeerRecord *own, Time asOf);
+  /// Compares a record that was taken over with the local cache, which holds
+  /// everything up to `asOf`.
+  void confirmTakeOver(const RegistryCache &cache, Time asOf);
   /// Handles a restore of the registry from a backup. The lease may be gone, or
   /// its number may belong to another instance, so the record is read again
   /// when its renewal is due; renewals of a large deployment are spread over
@@ -64,9 +73,16 @@
   std::optional<RegistryCall> leave();
 
 private:
-  enum class Phase : uint8_t { Reading, CreatingLease, Writing, Renewing };
+  enum class Phase : uint8_t {
+    Reading,
+    /// Waits for the local cache to show the record that was read.
+    Confirming,
+    CreatingLease,
+    Writing,
+    Renewing
+  };
 
-  void takeOver(const RegistryAnswer &answer);
+  void takeOver(const RegistryAnswer &answer, Time now);
 
   const RegistryDialect &Dialect;
   PeerRecord Self;
@@ -77,6 +93,10 @@
   bool MustReread = false;
   /// How current the read of the record has to be.
   Freshness RecordFreshness = Freshness::MayBeStale;
+  /// While confirming: the record that was read, when, and what is next.
+  Item Former;
+  Time FormerReadAt;
+  Phase AfterConfirming = Phase::Renewing;
   int64_t Lease = 0;
   /// The registry generation in which the lease was created, if known.
   std::optional<Generation> LeaseGeneration;
--- a/include/chicorybank/edge/RegistryCache.h
+++ b/include/chicorybank/edge/RegistryCache.h
@@ -89,6 +89,9 @@
   /// retained ones; or those of one zone.
   std::vector<token::Registration>
   registrations(std::optional<std::string_view> zone = std::nullopt) const;
+  /// Returns the item of a key as it was read, or null if the cache lacks or
+  /// only retains it.
+  const Item *find(const std::string &key) const;
   /// Advances to a later revision at which another cache has the given
   /// checksum, if this cache has it as well: then nothing that matters has
   /// changed in between. Returns false if the checksums differ, or if the
--- a/lib/edge/InstanceRegistrar.cpp
+++ b/lib/edge/InstanceRegistrar.cpp
@@ -10,16 +10,18 @@
   if (CallInFlight || now < DueAt)
     return std::nullopt;
   CallInFlight = true;
-  if (std::exchange(MustReread, false)) {
+  if (std::exchange(MustReread, false) || State == Phase::Confirming) {
     // Unless the last write was answered, it is unknown under which lease the
     // record is, so a new lease is created.
-    bool written = State == Phase::Renewing || State == Phase::Reading;
+    bool written = State == Phase::Renewing || State == Phase::Reading ||
+                   State == Phase::Confirming;
     State = written ? Phase::Reading : Phase::CreatingLease;
     // A stale read may be from before the restore.
     RecordFreshness = Freshness::Current;
   }
   switch (State) {
   case Phase::Reading:
+  case Phase::Confirming:
     return Dialect.readInstanceRecord(Self.Id, RecordFreshness);
   case Phase::CreatingLease:
     return Dialect.createLease(Times.LeaseDuration);
@@ -36,8 +38,8 @@
   DueAt = now + Times.RetryAfter;
   bool known = answer.Status == HttpOk || answer.Status == HttpNotFound;
   if (State == Phase::Reading && known) {
-    takeOver(answer);
     DueAt = now;
+    takeOver(answer, now);
     return;
   }
   if (answer.Status == HttpNotFound) {
@@ -49,6 +51,7 @@
     return;
   switch (State) {
   case Phase::Reading:
+  case Phase::Confirming:
     break;
   case Phase::CreatingLease: {
     auto lease = Dialect.parseLease(answer.Body);
@@ -78,7 +81,7 @@
   DueAt = now + Times.RenewInterval;
 }
 
-void InstanceRegistrar::takeOver(const RegistryAnswer &answer) {
+void InstanceRegistrar::takeOver(const RegistryAnswer &answer, Time now) {
   State = Phase::CreatingLease;
   if (answer.Status != HttpOk)
     return;
@@ -91,6 +94,24 @@
   Lease = item->Lease;
   LeaseGeneration = answer.Generation;
   State = record && *record == Self ? Phase::Renewing : Phase::Writing;
+  if (RecordFreshness == Freshness::Current)
+    return;
+  AfterConfirming = std::exchange(State, Phase::Confirming);
+  Former = std::move(*item);
+  FormerReadAt = now;
+  DueAt = now + Times.VisibleWithin;
+}
+
+void InstanceRegistrar::confirmTakeOver(const RegistryCache &cache, Time asOf) {
+  if (CallInFlight || State != Phase::Confirming || asOf < FormerReadAt)
+    return;
+  const Item *known = cache.find(Former.Key);
+  bool same = known && known->Created == Former.Created &&
+              known->At.Revision == Former.At.Revision;
+  State = same ? AfterConfirming : Phase::Reading;
+  if (!same)
+    RecordFreshness = Freshness::Current;
+  DueAt = asOf;
 }
 
 void InstanceRegistrar::checkRecord(const PeerRecord *own, Time asOf) {
@@ -105,7 +126,8 @@
 
 std::optional<RegistryCall> InstanceRegistrar::leave() {
   CallInFlight = true;
-  if (State == Phase::CreatingLease || State == Phase::Reading || MustReread)
+  if (State == Phase::CreatingLease || State == Phase::Reading ||
+      State == Phase::Confirming || MustReread)
     return std::nullopt;
   if (State == Phase::Writing)
     return Dialect.revokeLease(Lease);
--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -353,6 +353,12 @@
   return out;
 }
 
+const Item *RegistryCache::find(const std::string &key) const {
+  auto it = Items.find(key);
+  return it == Items.end() || it->second.Retained ? nullptr
+                                                  : &it->second.Source;
+}
+
 ZoneDigests RegistryCache::registrationDigests() const {
   ZoneDigests out;
   for (const auto &[zone, it] : ByZone)
--- a/lib/edge/RegistryWriter.h
+++ b/lib/edge/RegistryWriter.h
@@ -39,6 +39,7 @@
   /// absent. `asOf`: the time as of which the cache is current.
   void learnOwnRecord(const PeerRecord *own, Time asOf) {
     Registrar.checkRecord(own, asOf);
+    Registrar.confirmTakeOver(Cache, asOf);
   }
   void learnDirectory(const DirectorySummary &stored, Time now) {
     Directory.learn(Cache, stored, now);
--- a/tests/InstanceRegistrarTest.cpp
+++ b/tests/InstanceRegistrarTest.cpp
@@ -12,12 +12,18 @@
 constexpr auto OwnRecord =
     "/-/kv-key?key=chicorybank/instances/0.0.0.1&serializable=1";
 
-/// Returns an answer with the record of the previous process, under lease 9.
-std::string record(bool leaving) {
+Item formerRecord(bool leaving) {
   std::string value = R"({"zone":"a","peers":"0.0.0.1:2")";
   value += leaving ? R"(,"leaving":true})" : "}";
-  return itemAnswer({.Key = "chicorybank/instances/0.0.0.1", .Value = value},
-                    9);
+  return {.Key = "chicorybank/instances/0.0.0.1",
+          .Value = value,
+          .At = at(7),
+          .Created = 7};
+}
+
+/// Returns an answer with the record of the previous process, under lease 9.
+std::string record(bool leaving) {
+  return itemAnswer(formerRecord(leaving), 9);
 }
 
 struct RegistrarFixture {
@@ -38,6 +44,17 @@
     step(404);
     return *this;
   }
+  /// Lets the local cache show an item, or nothing.
+  RegistrarFixture &show(const std::optional<Item> &item) {
+    RegistryCache cache(Dialect);
+    Findings findings;
+    ItemPage page{.At = at(9)};
+    if (item)
+      page.Items.push_back(*item);
+    cache.replaceAll(page, findings);
+    Registrar.confirmTakeOver(cache, Now);
+    return *this;
+  }
   void announce() {
     skipFormerRecord();
     step(Ok, R"({"lease":5})");
@@ -56,6 +73,7 @@
   CPPUNIT_TEST(retriesAfterDelay);
   CPPUNIT_TEST(marksRecordAsLeaving);
   CPPUNIT_TEST(takesOverRecordAndLeaseAfterRestart);
+  CPPUNIT_TEST(usesNoLeaseFromAnUnconfirmedRead);
   CPPUNIT_TEST(rewritesRecordMarkedAsLeaving);
   CPPUNIT_TEST(createsNewLeaseAfterStaleRead);
   CPPUNIT_TEST(rereadsRecordAfterRestore);
@@ -196,21 +214,64 @@
   void takesOverRecordAndLeaseAfterRestart() {
     RegistrarFixture it;
     expectEqual<std::string>(OwnRecord, it.step(Ok, record(false)));
+    it.show(formerRecord(false));
     expectEqual<std::string>("/-/kv-keep/9", it.step(Ok));
     it.Now += RegistrarTimes{}.RenewInterval;
     expectEqual<std::string>("/-/kv-keep/9", it.step(Ok));
   }
 
+  // Guards against an instance that renews the lease of another one: a restore
+  // has given the number of its predecessor's lease away, and the read of its
+  // record was from before that.
+  void usesNoLeaseFromAnUnconfirmedRead() {
+    constexpr auto CurrentRead = "/-/kv-key?key=chicorybank/instances/0.0.0.1";
+    RegistrarFixture it;
+    it.step(Ok, record(false));
+    section("before a current cache has shown the record", [&] {
+      expectEqual<std::string>("", it.step(Ok));
+      Time readAt = std::exchange(it.Now, it.Now - 1ms);
+      it.show(formerRecord(false));
+      it.Now = readAt;
+      expectEqual<std::string>("", it.step(Ok));
+      expectTrue(!it.Registrar.leave(), "not even to leave");
+    });
+    section("if the cache has another write", [] {
+      RegistrarFixture other;
+      other.step(Ok, record(false));
+      Item later = formerRecord(false);
+      later.At = at(8);
+      other.show(later);
+      expectEqual<std::string>(CurrentRead, other.step(Ok, record(false)));
+      expectEqual<std::string>("/-/kv-keep/9", other.step(Ok));
+    });
+    section("if the cache has none", [] {
+      RegistrarFixture lost;
+      lost.step(Ok, record(false));
+      lost.show(std::nullopt);
+      expectEqual<std::string>(CurrentRead, lost.step(404));
+      expectEqual<std::string>("/-/kv-lease", lost.step(Ok));
+    });
+    section("if the cache does not become current in time", [] {
+      RegistrarFixture late;
+      late.step(Ok, record(false));
+      late.Now += RegistrarTimes{}.VisibleWithin;
+      expectEqual<std::string>(CurrentRead, late.step(Ok, record(false)));
+      expectEqual<std::string>("/-/kv-keep/9", late.step(Ok));
+    });
+  }
+
   // Guards against an instance that gets no updates after a planned restart.
   // Its previous process marked the record as leaving. The new one takes over
   // the lease, and has to rewrite a record that exists but is marked.
   void rewritesRecordMarkedAsLeaving() {
     RegistrarFixture it;
     it.step(Ok, record(true));
+    it.show(formerRecord(true));
     expectEqual<std::string>("/-/kv-txn", it.step(Ok));
-    section("the stale read was from before the mark", [] {
+    section("it is marked after it was taken over", [] {
       RegistrarFixture late;
       late.step(Ok, record(false));
+      late.show(formerRecord(false));
       expectEqual<std::string>("/-/kv-keep/9", late.step(Ok));
       PeerRecord leaving{
           .Id = InstanceId{1}, .Zone = "a", .PeerAddress = {1, 2}};
@@ -226,11 +287,13 @@
   void createsNewLeaseAfterStaleRead() {
     RegistrarFixture it;
     it.step(Ok, record(false));
+    it.show(formerRecord(false));
     expectEqual<std::string>("/-/kv-keep/9", it.step(404));
     expectEqual<std::string>("/-/kv-lease", it.step(Ok, R"({"lease":10})"));
     section("the record may be marked as leaving", [] {
       RegistrarFixture left;
       left.step(Ok, record(true));
+      left.show(formerRecord(true));
       expectEqual<std::string>("/-/kv-txn", left.step(404));
       expectEqual<std::string>("/-/kv-lease", left.step(Ok, "{}"));
     });
--- a/tests/RestoreModel.h
+++ b/tests/RestoreModel.h
@@ -598,6 +598,7 @@
     auto own = it.Known.find(it.Id);
     it.Registrar.checkRecord(own == it.Known.end() ? nullptr : &own->second,
                              it.Watcher.currentAt());
+    it.Registrar.confirmTakeOver(it.Watcher.cache(), it.Watcher.currentAt());
     if (const token::RouteSet *now = it.Watcher.cache().routes(); now && routes)
       it.HistoryWriter.learn(*now, Now);
     if (routes)
