Keep what the pages of a first list had beyond its position

What callers could see: flows of a running server are reset 2.3 s after an outage of the store, by instances that never learned of its return.

Cause: the pages of a first list are applied as they arrive. The whole list then cleared the history, also of what a later page had from after the list's position. If this instance is the one that watches, the watch reports the same writes, which are nothing new, and its pushes move others past them.

The new test, before the change: "expected 1, got 0".

Change: the first list clears the history up to its position only; an entry of an earlier generation is below that. Weighed: a history from the highest revision of the list, so that others read everything anew; 300 kB for each child after every start among changes.

--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -295,7 +295,10 @@
     return {};
   bool first = At == Position{} || At.Generation < page.At.Generation;
   if (first) {
-    History.clear();
+    // Pages that were applied before the whole list may have had later items.
+    std::erase_if(History, [&](const HistoryEntry &it) {
+      return it.LearnedAt <= page.At;
+    });
     HistoryFrom = page.At;
     FirstListAt = page.At;
   }
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(passesOnAReturnFromAStaleRead);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
   CPPUNIT_TEST(passesOnWhatALaterPageOfAListHas);
+  CPPUNIT_TEST(passesOnWhatALaterPageOfTheFirstListHad);
   CPPUNIT_TEST(knowsWhichRegistrationsWereMadeSinceARestore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -95,6 +96,28 @@
     expectEqual(cache.digest(), other.digest());
   }
 
+  // The pages of the first list are applied as they arrive. Guards against the
+  // same for a server in one of them, which the list as a whole repeats.
+  void passesOnWhatALaterPageOfTheFirstListHad() {
+    Store store;
+    store.server(1);
+    ItemPage list = store.list();
+    RegistryCache other(Dialect);
+    Findings findings;
+    other.replaceAll(list, findings);
+    store.server(2);
+    ItemPage later{.Items = {*store.item("servers/i-2")},
+                   .At = store.position()};
+    list.Items.push_back(later.Items.front());
+    RegistryCache cache(Dialect);
+    cache.applyPartial(later, findings);
+    cache.replaceAll(list, findings);
+    expectEqual<size_t>(1, cache.changesSince(list.At)->Items.size());
+    cache.apply(store.since(list.At.Revision), findings);
+    other.apply(*cache.changesSince(list.At), findings);
+    expectEqual<size_t>(2, other.registrationCount());
+  }
+
   // Guards against taking a registration that a restored registry lists for a
   // newer one than those of the generation before.
   void knowsWhichRegistrationsWereMadeSinceARestore() {
