End a daemon that is stopped before its HTTP server listens

What operators could see: a chicoryd that is stopped right after its start closes everything else and never ends.

Cause: httplib::Server::stop does nothing before the server listens. If the thread that listens has not got there yet, it listens afterwards, and AdminServer::stop waits for its end for good.

Change: the stop waits until the server listens or could not begin. Weighed: waiting in the start, which delays the first packets on a busy machine.

--- a/lib/daemon/Admin.cpp
+++ b/lib/daemon/Admin.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr auto CoreTimeout = std::chrono::seconds(1);
+constexpr auto ListenPollInterval = std::chrono::milliseconds(1);
 constexpr int StatusBadRequest = 400;
 constexpr int StatusUnavailable = 503;
 
@@ -204,14 +205,21 @@
   Server->new_task_queue = [] { return new httplib::ThreadPool(2); };
   if (!Server->bind_to_port(formatIp(Listen.Ip), Listen.Port))
     return tl::make_unexpected("bind " + formatAddress(Listen) + ": failed");
-  Worker = std::thread([this] { Server->listen_after_bind(); });
+  Worker = std::thread([this] {
+    Server->listen_after_bind();
+    ListenEnded = true;
+  });
   return {};
 }
 
 void AdminServer::stop() {
+  if (!Worker.joinable())
+    return;
+  // `httplib::Server::stop` does nothing before the server listens.
+  while (!Server->is_running() && !ListenEnded)
+    std::this_thread::sleep_for(ListenPollInterval);
   Server->stop();
-  if (Worker.joinable())
-    Worker.join();
+  Worker.join();
 }
 
 } // namespace chicory
--- a/lib/daemon/Admin.h
+++ b/lib/daemon/Admin.h
@@ -7,6 +7,7 @@
 #include "Journal.h"
 #include "Rings.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -52,6 +53,8 @@
   std::function<WorkerStats()> ReadWorkerStats;
   std::unique_ptr<httplib::Server> Server;
   std::thread Worker;
+  /// The worker has stopped serving, or could not begin.
+  std::atomic<bool> ListenEnded = false;
 };
 
 } // namespace chicory
