InstanceRegistrarTest: keep the case of a read from before the mark

The case itself is back: the cache shows the mark, the record is read from the leader, and written anew under its lease.

--- a/tests/InstanceRegistrarTest.cpp
+++ b/tests/InstanceRegistrarTest.cpp
@@ -44,7 +44,7 @@
     step(404);
     return *this;
   }
-  /// Lets the local cache show an item, or nothing.
+  /// Lets the local cache show this instance's record, or none.
   RegistrarFixture &show(const std::optional<Item> &item) {
     RegistryCache cache(Dialect);
     Findings findings;
@@ -268,6 +268,16 @@
     it.step(Ok, record(true));
     it.show(formerRecord(true));
     expectEqual<std::string>("/-/kv-txn", it.step(Ok));
+    section("the stale read was from before the mark", [] {
+      RegistrarFixture early;
+      early.step(Ok, record(false));
+      Item marked = formerRecord(true);
+      marked.At = at(8);
+      early.show(marked);
+      expectEqual<std::string>("/-/kv-key?key=chicorybank/instances/0.0.0.1",
+                               early.step(Ok, record(true)));
+      expectEqual<std::string>("/-/kv-txn", early.step(Ok));
+    });
     section("it is marked after it was taken over", [] {
       RegistrarFixture late;
       late.step(Ok, record(false));
