Log who told of a drain and when the updates are first current

A late opening to a draining server could not be explained from the logs: backend_draining says neither from whom nor at which revision the drain was learned, and nothing says how long a start takes until its updates are confirmed as current, or how many flows it opens until then.

backend_drain_learned and first_current say so, and chicory_opened_unconfirmed_total counts these flows. They tell the three hypotheses of the incident apart: an old read of a start (confirmed=0, the counter grows), a push that is older than it says (a small age at the opening), a lost drain (learned, and opened later). The conversion to milliseconds and the text of a server's id had one user each and are functions now.

--- a/include/chicorybank/edge/RegistryWatcher.h
+++ b/include/chicorybank/edge/RegistryWatcher.h
@@ -185,6 +185,8 @@
   /// The cache has not been known to be current for longer than `StaleAfter`.
   bool isStale(Time now) const { return now - CurrentAt > Times.StaleAfter; }
   Time currentAt() const { return CurrentAt; }
+  /// The cache has been known to be current at some time since the start.
+  bool wasCurrent() const { return CurrentAt != NeverCurrent; }
   const RegistryCache &cache() const { return Cache; }
   /// Returns the latest generation that the registry has reported; nothing
   /// before its first answer.
@@ -202,6 +204,7 @@
 
 private:
   enum class Phase : uint8_t { Starting, Listing, Watching };
+  static constexpr Time NeverCurrent = Time{} - std::chrono::hours(1);
 
   void handleStartAnswer(const RegistryAnswer &answer, Time now,
                          std::vector<token::Event> &out);
@@ -282,7 +285,7 @@
   Time LastCurrentCallAt;
   Time LastList;
   /// The cache is known to be current as of this time.
-  Time CurrentAt = Time{} - std::chrono::hours(1);
+  Time CurrentAt = NeverCurrent;
   /// The key after which a list in several pages continues.
   std::string ListCursor;
   /// The items of that list so far.
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -74,6 +74,8 @@
   uint64_t Packets = 0;
   uint64_t Forwarded = 0;
   uint64_t Opened = 0;
+  /// Flows that were opened before the updates were ever confirmed as current.
+  uint64_t OpenedUnconfirmed = 0;
   uint64_t Probes = 0;
   uint64_t ProbesFailed = 0;
   /// Servers that got no new flows because their address was contested.
--- a/lib/edge/Log.cpp
+++ b/lib/edge/Log.cpp
@@ -31,9 +31,7 @@
   return with("why", name);
 }
 
-namespace {
-
-std::string idText(token::BackendId id) {
+std::string backendIdText(token::BackendId id) {
   constexpr size_t HexDigits = 24;
   char hex[HexDigits];
   std::snprintf(hex, sizeof(hex), "%llx",
@@ -41,6 +39,8 @@
   return hex;
 }
 
+namespace {
+
 std::string orderText(const token::RegistrationOrder &order) {
   std::string out =
       std::to_string(order.Generation) + ':' + std::to_string(order.Revision);
@@ -66,7 +66,7 @@
     out.with("route", formatAddress(decision.Flow.Destination));
   }
   if (decision.Backend.Value != 0)
-    out.with("server", idText(decision.Backend));
+    out.with("server", backendIdText(decision.Backend));
   if (!decision.Zone.empty())
     out.with("zone", decision.Zone);
   using std::chrono::duration_cast;
@@ -82,7 +82,7 @@
   if (const auto &it = decision.Conflict)
     out.with("address", formatAddress(it->Where))
         .with("order", orderText(it->Order))
-        .with("other", idText(it->Other))
+        .with("other", backendIdText(it->Other))
         .with("other_order", orderText(it->OtherOrder));
   return out;
 }
--- a/lib/edge/Log.h
+++ b/lib/edge/Log.h
@@ -37,6 +37,9 @@
   std::string Text;
 };
 
+/// Returns a server's id as it is written in the log.
+std::string backendIdText(token::BackendId id);
+
 /// Builds the log line of a decision of the core. Lines are written in batches,
 /// so `ago_ms` is the time since the decision was made.
 LogLine decisionLine(const token::Decision &decision, Time now);
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -135,6 +135,10 @@
          "Packets sent to backend servers", edge.Core.Forwarded);
   scalar(out, "chicory_opened_total", "counter",
          "Flows assigned to a backend server", edge.Core.Opened);
+  scalar(out, "chicory_opened_unconfirmed_total", "counter",
+         "Flows assigned to a backend server before the registry updates were "
+         "first confirmed as current",
+         edge.Core.OpenedUnconfirmed);
   scalar(out, "chicory_probes_total", "counter",
          "Connections opened to probe whether a backend server is reachable",
          edge.Core.Probes);
--- a/lib/edge/RegistrySync.cpp
+++ b/lib/edge/RegistrySync.cpp
@@ -18,6 +18,10 @@
   return from.Value == 0 ? "registry" : formatIp(from.Value);
 }
 
+int64_t millisecondsOf(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace
 
 RegistrySync::RegistrySync(EventLoop &loop, Log &log,
@@ -90,18 +94,14 @@
                                   const HttpClient::Result &result) {
   if (Watcher.complete() || !result)
     return;
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
-  auto ms = [](Duration it) {
-    return static_cast<int64_t>(duration_cast<milliseconds>(it).count());
-  };
-  Logger.write(LogLine("start_call")
-                   .with("kind", callKindName(kind))
-                   .with("status", result->Status)
-                   .with("since_start_ms", ms(steadyNow() - StartedAt))
-                   .with("first_byte_ms", ms(result->TimeToFirstByte))
-                   .with("took_ms", ms(result->TotalTime))
-                   .with("bytes", static_cast<int64_t>(result->Body.size())));
+  Logger.write(
+      LogLine("start_call")
+          .with("kind", callKindName(kind))
+          .with("status", result->Status)
+          .with("since_start_ms", millisecondsOf(steadyNow() - StartedAt))
+          .with("first_byte_ms", millisecondsOf(result->TimeToFirstByte))
+          .with("took_ms", millisecondsOf(result->TotalTime))
+          .with("bytes", static_cast<int64_t>(result->Body.size())));
 }
 
 RegistryCallCounts RegistrySync::callCounts() const {
@@ -161,14 +161,17 @@
   for (token::Event &it : updates) {
     if (const auto *drain = std::get_if<token::ZoneDrainLearned>(&it))
       logZoneDrain(*drain, from);
-    if (auto *servers = std::get_if<token::BackendsLearned>(&it))
+    if (auto *servers = std::get_if<token::BackendsLearned>(&it)) {
       servers->ReadAt = unixMillisecondsNow();
+      logBackendDrains(*servers, from);
+    }
     RoutesChanged = RoutesChanged ||
                     std::holds_alternative<token::RoutesLearned>(it) ||
                     std::holds_alternative<token::PastRoutesLearned>(it);
     Pending.push_back(std::move(it));
   }
   forwardPending();
+  logFirstCurrent(from, now);
   Findings findings = Watcher.takeFindings();
   for (const Finding &it : findings.items())
     Logger.write(LogLine("bad_item").with("finding", it.text()));
@@ -192,6 +195,30 @@
                    .with("from", sourceName(from)));
 }
 
+/// Logs the drains of backend servers as they are learned; `backend_draining`
+/// follows when a drain is in force.
+void RegistrySync::logBackendDrains(const token::BackendsLearned &servers,
+                                    InstanceId from) {
+  for (const token::Registration &it : servers.Present)
+    if (it.Draining)
+      Logger.write(LogLine("backend_drain_learned")
+                       .with("server", backendIdText(it.Id))
+                       .with("revision", Watcher.cache().position().Revision)
+                       .with("from", sourceName(from))
+                       .with("confirmed", Watcher.wasCurrent() ? 1 : 0));
+}
+
+/// Logs when the cache is first known to be current, and by whose word.
+void RegistrySync::logFirstCurrent(InstanceId from, Time now) {
+  if (FirstCurrentLogged || !Watcher.wasCurrent())
+    return;
+  FirstCurrentLogged = true;
+  Logger.write(LogLine("first_current")
+                   .with("since_start_ms", millisecondsOf(now - StartedAt))
+                   .with("revision", Watcher.cache().position().Revision)
+                   .with("from", sourceName(from)));
+}
+
 void RegistrySync::updatePeers(Time now) {
   Gossip.learn(Watcher.peers(), now);
   token::InstancesLearned instances;
--- a/lib/edge/RegistrySync.h
+++ b/lib/edge/RegistrySync.h
@@ -95,6 +95,8 @@
   void applyUpdates(std::vector<token::Event> updates, InstanceId from,
                     Time now);
   void logZoneDrain(const token::ZoneDrainLearned &drain, InstanceId from);
+  void logBackendDrains(const token::BackendsLearned &servers, InstanceId from);
+  void logFirstCurrent(InstanceId from, Time now);
   void forwardPending();
   void updateStaleness(Time now);
 
@@ -117,6 +119,7 @@
   Position PushedPosition;
   /// The time as of which the last push was current.
   Time PushedAsOf;
+  bool FirstCurrentLogged = false;
   /// Until when received pushes may be from before a suspension.
   Time StalePushesUntil;
   /// Routes or their stored history have changed since the last
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -74,6 +74,8 @@
   if (i == NoBackend)
     return reset(head, whyNoServer(*route), NoBackend, now, actions);
   ++Stats.Opened;
+  if (CurrentAt == NeverCurrent)
+    ++Stats.OpenedUnconfirmed;
   sendOpening(event, i, now, actions);
   if (avoid != NoBackend && avoid != i)
     flowOf(head.key())->AlsoSentTo = Servers.at(avoid).Info.Id;
--- a/tests/TokenCoreTest.cpp
+++ b/tests/TokenCoreTest.cpp
@@ -441,6 +441,7 @@
     expectTrue(instance.UnderTest.canForward() && !instance.UnderTest.isReady(),
                "some routes and servers are known");
     expectEqual<uint64_t>(1, sentTo(instance.packet(Caller{}.open())));
+    expectEqual<uint64_t>(1, instance.UnderTest.stats().OpenedUnconfirmed);
     section("unknown services and tokens are not reset yet", [&] {
       Caller other{.Port = 2, .Route = Papers};
       expectTrue(isIgnored(instance.packet(other.open())), "no server yet");
@@ -456,6 +457,11 @@
                              Reason::NoTarget,
                          "a reset");
             });
+    section("flows opened afterwards do not count as unconfirmed", [&] {
+      instance.packet(Caller{.Port = 5}.open());
+      expectEqual<uint64_t>(1, instance.UnderTest.stats().OpenedUnconfirmed);
+      expectEqual<uint64_t>(2, instance.UnderTest.stats().Opened);
+    });
   }
 
   void resetsNothingForRoutesItMayNotKnowYet() {
