--- a/tests/RegistryWatcherTest.cpp
+++ b/tests/RegistryWatcherTest.cpp
@@ -7,6 +7,9 @@
 #include "RegistrySamples.h"
 #include "Story.h"
 
+#include <deque>
+#include <set>
+
 using namespace story;
 using namespace samples::registry;
 
@@ -43,6 +46,8 @@
   CPPUNIT_TEST(isNotCurrentAfterAStaleList);
   CPPUNIT_TEST(keepsServersThatALaterPageOfAStaleListLacks);
   CPPUNIT_TEST(waitsForAPushAfterAStaleList);
+  CPPUNIT_TEST(learnsOfDrainsSoonAfterAStaleList);
+  CPPUNIT_TEST(knowsEveryDrainWithinItsBound);
   CPPUNIT_TEST(knowsTheNewerOfTwoServersAtOneAddress);
   CPPUNIT_TEST(provesNoAgeByTheDirectory);
   CPPUNIT_TEST(endsServersThatOnlyTheDirectoryNames);
@@ -752,6 +757,92 @@
     expectEqual<std::string>("/-/kv-range?prefix=", fixture.stepOnce(store));
   }
 
+  // A server's drain is missing in the stale list of a start, and no push
+  // arrives. Guards against new flows to this server seconds after its drain.
+  void learnsOfDrainsSoonAfterAStaleList() {
+    Store store = withDirectory();
+    Store stale = store;
+    store.server(1, "draining");
+    WatcherFixture fixture;
+    fixture.Watcher.setStalenessLimit(2s, 1s);
+    fixture.start(store);
+    fixture.Now += 100ms;
+    fixture.stepOnce(stale);
+    fixture.take<token::BackendsLearned>();
+    fixture.Now += 500ms;
+    expectEqual<std::string>(
+        "/-/kv-watch?prefix=&after=" + std::to_string(stale.revision()) +
+            "&wait_ms=500",
+        fixture.stepOnce(store));
+    auto learned = fixture.take<token::BackendsLearned>();
+    expectTrue(learned.size() == 1 && learned[0].Present.size() == 1 &&
+                   learned[0].Present[0].Draining,
+               "the drain is known");
+    section("the changes alone do not confirm the stale list", [&] {
+      expectTrue(!fixture.Watcher.mayPassOn(), "nothing is passed on");
+      fixture.Now += 1400ms;
+      expectEqual<std::string>("", fixture.stepOnce(store));
+      fixture.Now += 100ms;
+      expectEqual<std::string>("/-/kv-range?prefix=", fixture.stepOnce(store));
+      expectTrue(fixture.Watcher.wasCurrent(), "the list does");
+    });
+  }
+
+  // For any drains around a start without pushes: each is known five seconds
+  // later. Guards against new flows to draining servers because a read that may
+  // be stale stays in force.
+  void knowsEveryDrainWithinItsBound() {
+    constexpr Duration Bound = 5s;
+    constexpr Duration ReplicaLag = 6s;
+    constexpr Duration Step = 50ms;
+    // A configuration of 1 MB on a link of 10 Mbit/s.
+    constexpr Duration LargeAnswerTime = 1100ms;
+    constexpr int Steps = 300;
+    property("drains at any time around a start from stale reads", [&] {
+      Store store = withDirectory();
+      WatcherFixture fixture;
+      fixture.Watcher.setStalenessLimit(2250ms, 1s);
+      Time startsAt = fixture.Now + ReplicaLag;
+      auto drainSteps =
+          *rc::gen::container<std::vector<int>>(6, rc::gen::inRange(0, Steps));
+      std::deque<Store> past;
+      std::set<uint64_t> known;
+      std::optional<RegistryCall> call;
+      Time answerAt;
+      for (int step = 0; step < Steps; ++step) {
+        fixture.Now += Step;
+        for (size_t n = 0; n < drainSteps.size(); ++n)
+          if (drainSteps[n] == step)
+            store.server(n + 1, "draining");
+        past.push_back(store);
+        if (past.size() > static_cast<size_t>(ReplicaLag / Step))
+          past.pop_front();
+        if (fixture.Now < startsAt)
+          continue;
+        if (call && fixture.Now >= answerAt) {
+          bool mayBeStale =
+              call->Target.find("serializable") != std::string::npos;
+          fixture.answer(answerOf(mayBeStale ? past.front() : store, *call));
+          call.reset();
+        }
+        if (auto next = fixture.Watcher.next(fixture.Now)) {
+          call = std::move(next->Call);
+          bool isLarge = call->Kind == CallKind::List ||
+                         call->Kind == CallKind::OperatorSettings;
+          answerAt = fixture.Now + (isLarge ? LargeAnswerTime : Step);
+        }
+        for (const auto &learned : fixture.take<token::BackendsLearned>())
+          for (const token::Registration &it : learned.Present)
+            if (it.Draining)
+              known.insert(it.Id.Value);
+        for (size_t n = 0; n < drainSteps.size(); ++n)
+          RC_ASSERT(fixture.Now < startsAt + Bound ||
+                    (step - drainSteps[n]) * Step <= Bound ||
+                    known.contains(n + 1));
+      }
+    });
+  }
+
   // A server ends, and an instance starts from a directory that still names it;
   // the list lacks it. No change reports an end from before the list. Guards
   // against packets that go to this server for good.
