Claim no position beyond the changes that the cache holds

Callers' new flows reached servers five seconds and more after their drain, through instances that had started shortly before.

Cause: an instance that starts takes another instance's copy (a seed) and then a list that may be stale. Items of such a list never replace those of the seed, not even newer ones, since a stale read may be from before a restore. But the cache's position advanced to that of the list. Pushes and pulls from there on did not report the changes between the seed and the list, and the instance could not be confirmed by pushes, as its checksum differed; only its own current list, up to 3.5 s later, brought them.

Change: the position after such a list is just before the first newer item that was ignored. The next push then has a later base and is pulled for, as by any instance that is behind. Weighed: letting newer items of a stale list replace those of the seed. Without a header with the generation, a read from before a restore would then revert a configuration.

RegistryCacheTest::claimsNoPositionBeyondTheChangesThatItHolds and RegistryWatcherTest::learnsOfDrainsThatAStaleListHasAndASeedLacks failed before (expected the position before the drain; the push needed no pull).

--- a/include/chicorybank/edge/RegistryCache.h
+++ b/include/chicorybank/edge/RegistryCache.h
@@ -125,6 +125,9 @@
   void addToTotals(const Entry &entry);
   void removeFromTotals(const Entry &entry);
   void retain(Entry &entry);
+  /// Returns the position up to which the cache will hold all changes once it
+  /// has applied a list of everything.
+  Position positionAfter(const ItemPage &list) const;
   void addToHistory(const Item &item, Position learnedAt);
   Item asPassedOn(Item item) const;
   size_t historyLimit() const;
--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -289,10 +289,27 @@
   return out;
 }
 
+/// Items from a read that may be stale do not replace those of other
+/// instances, even if they are newer. Their changes are not in the cache, so
+/// its position stays before them.
+Position RegistryCache::positionAfter(const ItemPage &list) const {
+  Position out = list.At;
+  for (const Item &it : list.Items) {
+    auto known = Items.find(it.Key);
+    bool ignored = known != Items.end() && it.At > known->second.Source.At &&
+                   !it.supersedes(known->second.Source);
+    if (ignored)
+      out = std::min(out, Position{.Generation = it.At.Generation,
+                                   .Revision = it.At.Revision - 1});
+  }
+  return out;
+}
+
 std::vector<Change> RegistryCache::replaceAll(const ItemPage &page,
                                               Findings &findings) {
   if (page.At.Generation < At.Generation)
     return {};
+  Position reached = positionAfter(page);
   bool first = At == Position{} || At.Generation < page.At.Generation;
   if (first) {
     // Pages that were applied before the whole list may have had later items.
@@ -322,7 +339,7 @@
   }
   for (const Item &it : ended)
     applyItem(it, page, findings, out);
-  At = std::max(At, page.At);
+  At = std::max(At, reached);
   return out;
 }
 
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(passesOnUnparseableItems);
   CPPUNIT_TEST(comparesNothingAcrossGenerations);
   CPPUNIT_TEST(passesOnAReturnFromAStaleRead);
+  CPPUNIT_TEST(claimsNoPositionBeyondTheChangesThatItHolds);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
   CPPUNIT_TEST(passesOnWhatALaterPageOfAListHas);
   CPPUNIT_TEST(passesOnWhatALaterPageOfTheFirstListHad);
@@ -53,6 +54,42 @@
     expectEqual<size_t>(2, cache.registrationCount());
   }
 
+  // A list that may be stale has a newer registration than another instance had
+  // passed on, and does not replace it. Guards against a drain that stays
+  // unknown because the changes are read from the list's position on.
+  void claimsNoPositionBeyondTheChangesThatItHolds() {
+    Store store;
+    store.server(1);
+    store.server(2);
+    RegistryCache cache(Dialect);
+    Findings findings;
+    cache.replaceAll(store.list(), findings);
+    store.config(3);
+    store.server(1, "draining");
+    store.server(3);
+    ItemPage stale = store.list();
+    stale.markMayBeStale();
+    cache.replaceAll(stale, findings);
+    expectEqual<size_t>(3, cache.registrationCount());
+    expectTrue(cache.position() == at(3), "the position before the drain");
+    section("the changes from there on have the drain", [&] {
+      auto changes =
+          cache.apply(store.since(cache.position().Revision), findings);
+      expectTrue(cache.position() == store.position(), "all is known");
+      const auto *server =
+          std::get_if<token::Registration>(&changes.front().Content);
+      expectTrue(server && server->Draining, "the drain");
+    });
+    section("a list without newer items counts as of its position", [&] {
+      store.config(4);
+      ItemPage list = store.list();
+      cache.apply(store.since(cache.position().Revision), findings);
+      list.markMayBeStale();
+      cache.replaceAll(list, findings);
+      expectTrue(cache.position() == store.position(), "its position");
+    });
+  }
+
   // Guards against a running server that other instances end when its time to
   // return is over: its lost registration and the new one have the same content
   // and, by chance, the same revision.
--- a/tests/RegistryWatcherTest.cpp
+++ b/tests/RegistryWatcherTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(isNotCurrentAfterAStaleList);
   CPPUNIT_TEST(keepsServersThatALaterPageOfAStaleListLacks);
   CPPUNIT_TEST(waitsForAPushAfterAStaleList);
+  CPPUNIT_TEST(learnsOfDrainsThatAStaleListHasAndASeedLacks);
   CPPUNIT_TEST(learnsOfDrainsSoonAfterAStaleList);
   CPPUNIT_TEST(knowsEveryDrainWithinItsBound);
   CPPUNIT_TEST(knowsTheNewerOfTwoServersAtOneAddress);
@@ -757,6 +758,38 @@
     expectEqual<std::string>("/-/kv-range?prefix=", fixture.stepOnce(store));
   }
 
+  // A server drains after another instance's copy and before the stale list of
+  // a start. Guards against new flows to this server until the next list,
+  // although pushes arrive.
+  void learnsOfDrainsThatAStaleListHasAndASeedLacks() {
+    Store store = withDirectory();
+    WatcherFixture fixture;
+    fixture.Watcher.setStalenessLimit(2s, 1s);
+    fixture.fail();
+    fixture.Watcher.applySeed(store.list(), fixture.Events);
+    Position seeded = store.position();
+    store.server(1, "draining");
+    fixture.start(store);
+    fixture.Now = fixture.Watcher.nextAt();
+    fixture.stepOnce(store);
+    expectTrue(fixture.Watcher.complete(), "the list was read");
+    fixture.take<token::BackendsLearned>();
+    store.server(3);
+    UpdatePush push{.Sender = InstanceId{1},
+                    .Base = at(seeded.Revision + 1),
+                    .Page = store.since(seeded.Revision + 1)};
+    expectTrue(
+        fixture.Watcher.applyPush(push, false, fixture.Now, fixture.Events),
+        "the push lacks the drain, so the sender is asked for it");
+    fixture.Watcher.applyPull(store.since(seeded.Revision), false, fixture.Now,
+                              fixture.Events);
+    bool drains = false;
+    for (const auto &learned : fixture.take<token::BackendsLearned>())
+      for (const token::Registration &it : learned.Present)
+        drains = drains || (it.Id.Value == 1 && it.Draining);
+    expectTrue(drains, "the drain is known");
+  }
+
   // A server's drain is missing in the stale list of a start, and no push
   // arrives. Guards against new flows to this server seconds after its drain.
   void learnsOfDrainsSoonAfterAStaleList() {
