Read the changes since a stale list before it is confirmed

After a list that may be stale, an instance that starts made no call for its whole staleness limit (up to 3.75 s with a bound of 5 s for configurations) and then listed everything. With a large configuration on a small link that list alone takes a second, and without pushes a drain from before the stale read took effect 5.7 s after the start: new flows kept going to the server.

Change: if no push has confirmed the list within a poll interval, the changes since its position are read by a watch: a few items, which count as current, while the list stays unconfirmed until a push agrees with it or a current list follows, as before. If the peer that a push comes from lacks these changes, the watch is made at once, in place of a full copy from the peer over two small links; if it fails, the full copy is read as before.

Weighed: a current list right after the stale one (764 kB for each of 71 starts, and 3 MB for each of 985 at the size of the whole fleet); a current first list for all (the same, and later first packets).

--- a/include/chicorybank/edge/RegistryWatcher.h
+++ b/include/chicorybank/edge/RegistryWatcher.h
@@ -18,7 +18,9 @@
 //   list, or a push with the same checksum, has to follow before the cache
 //   counts as current and is passed on. While that list waits for its time,
 //   everything is read from the first instance that pushes its updates, so that
-//   few lists serve all instances that start.
+//   few lists serve all instances that start. If no push has confirmed a stale
+//   list within a poll interval, the changes since then are read, so that the
+//   drain of a server takes effect in time although nothing is confirmed yet.
 // - The registry may be restored from a backup (`Position.h`). Its answers
 //   state the generation. Content of a later generation than the cache's is
 //   accepted only from a whole list whose pages are all of one generation. If
@@ -150,6 +152,13 @@
   /// The changes that a push announced could not be read from its sender, so
   /// the registry is called at once.
   void pullFailed() { CallNow = true; }
+  /// Reads the changes since a list that may be stale from the registry without
+  /// a further wait, as no other instance has them. Returns false if there is
+  /// no such list, or if that call has failed.
+  bool requestCatchUp() {
+    CallNow = CallNow || (catchUpIsNext() && !CallInFlight);
+    return catchUpIsNext();
+  }
   /// Takes the generation in the answer to a call that the watcher did not
   /// make.
   void observeGeneration(std::optional<Generation> generation, Time now);
@@ -237,6 +246,11 @@
     return State == Phase::Listing ||
            (Relisting && !CallNow && PageBeforeWatch);
   }
+  /// The next call reads what changed since a list that may be stale. The
+  /// instance that watches lists everything instead, without a delay.
+  bool catchUpIsNext() const {
+    return State == Phase::Watching && Unconfirmed && CatchUpDue && !watches();
+  }
   /// This instance is the one that watches.
   bool watches() const { return StalenessLimit <= Times.PollInterval; }
 
@@ -304,6 +318,9 @@
   /// and nothing current has confirmed it yet. A watch after its revision would
   /// not detect that, since the revision may have been assigned again.
   bool Unconfirmed = false;
+  /// The changes since the list that left the cache unconfirmed have not been
+  /// read from the registry.
+  bool CatchUpDue = false;
   Position RegistryPosition;
   /// The push whose changes are being read from its sender: the position that
   /// they reach at least, and when the sender's cache was known to be current.
--- a/lib/edge/RegistrySync.cpp
+++ b/lib/edge/RegistrySync.cpp
@@ -399,8 +399,13 @@
 }
 
 void RegistrySync::handlePulledPage(const PageResult &read) {
-  if (read.HistoryTooShort && !read.Full)
-    return pullUpdates(read.Peer, true);
+  if (read.HistoryTooShort && !read.Full) {
+    // After a stale list, the changes take less of this instance's link than a
+    // full copy.
+    if (!Watcher.requestCatchUp())
+      pullUpdates(read.Peer, true);
+    return;
+  }
   if (!read.Page) {
     Watcher.pullFailed();
     return Logger.write(LogLine("news_pull_failed")
--- a/lib/edge/RegistryWatcher.cpp
+++ b/lib/edge/RegistryWatcher.cpp
@@ -40,6 +40,8 @@
     return DueAt;
   if (watches())
     return std::max(DueAt, LastCurrentCallAt + Times.PollInterval);
+  if (catchUpIsNext())
+    return std::max(DueAt, LastList + Times.PollInterval);
   // `LastList`: after a list that may be stale, a push of the instance that
   // watches is about to arrive.
   return std::max(
@@ -49,7 +51,7 @@
 std::optional<TimedCall> RegistryWatcher::next(Time now) {
   if (now < nextAt())
     return std::nullopt;
-  if (State == Phase::Watching && Unconfirmed)
+  if (State == Phase::Watching && Unconfirmed && !catchUpIsNext())
     startList(now);
   CallInFlight = true;
   LastCallWasList = listPageIsNext();
@@ -116,7 +118,7 @@
   if (LastCallWasList)
     return handleListPage(std::move(*page), now, out);
   handleWatchAnswer(*page, now, out);
-  return State == Phase::Watching;
+  return State == Phase::Watching && !Unconfirmed;
 }
 
 /// An answer that was in flight during a restore, or that was read from a stale
@@ -252,6 +254,7 @@
 
 void RegistryWatcher::handleFailure(int status, Time now) {
   ++Stats.Failures;
+  CatchUpDue = false;
   if (status == HttpTooManyRequests || status == HttpUnavailable)
     ++Stats.Refused;
   std::uniform_real_distribution<double> jitter(0.75, 1.25);
@@ -315,6 +318,7 @@
   }
   bool current = ListFreshness == Freshness::Current;
   Unconfirmed = !current;
+  CatchUpDue = !current;
   if (current)
     markCurrent(ListStartedAt, out);
   beginWatching(now, out);
@@ -362,6 +366,10 @@
     startList(now);
     return;
   }
+  if (Unconfirmed) {
+    CatchUpDue = false;
+    return;
+  }
   // The registry answers without changes only when the wait is over; with
   // changes it may have answered at once.
   markCurrent(unchanged ? std::min(SentAt + Times.PollInterval, now) : SentAt,
