--- a/tests/RegistryWatcherTest.cpp
+++ b/tests/RegistryWatcherTest.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(learnsOfDrainsThatAStaleListHasAndASeedLacks);
   CPPUNIT_TEST(learnsOfDrainsSoonAfterAStaleList);
   CPPUNIT_TEST(readsWhatNoPeerHasFromTheRegistry);
+  CPPUNIT_TEST(endsServersThatOnlyAStaleListNamed);
   CPPUNIT_TEST(knowsEveryDrainWithinItsBound);
   CPPUNIT_TEST(knowsTheNewerOfTwoServersAtOneAddress);
   CPPUNIT_TEST(provesNoAgeByTheDirectory);
@@ -858,6 +859,25 @@
     expectEqual<std::string>("", fixture.stepOnce(store));
   }
 
+  // A server ends after the stale list of a start, and a current copy of the
+  // same generation lacks it. Guards against new flows to this server for
+  // seconds, as if a restore had lost its registration.
+  void endsServersThatOnlyAStaleListNamed() {
+    Store store = withDirectory();
+    Store stale = store;
+    store.remove("servers/i-2");
+    WatcherFixture fixture;
+    fixture.Watcher.setStalenessLimit(2s, 1s);
+    fixture.start(store);
+    fixture.Now += 100ms;
+    fixture.stepOnce(stale);
+    fixture.take<token::BackendsLearned>();
+    fixture.Watcher.applyPull(store.list(), true, fixture.Now, fixture.Events);
+    auto learned = fixture.take<token::BackendsLearned>();
+    expectTrue(learned.size() == 1 && learned[0].Ended.size() == 1,
+               "the server has ended");
+  }
+
   // For any drains around a start without pushes: each is known five seconds
   // later. Guards against new flows to draining servers because a read that may
   // be stale stays in force.
