--- a/include/chicorybank/edge/Settings.h
+++ b/include/chicorybank/edge/Settings.h
@@ -28,6 +28,9 @@
   Address Registry;
   WatcherTimes Watcher;
   token::CoreOptions Core;
+  /// The names of the deployment's contracts. The adapter to the platform knows
+  /// which parts of `Core.Balancing` they ask for.
+  std::vector<std::string> Contracts;
   /// Time from the stop signal to the end of serving. Routers probe twice a
   /// second and stop sending new packets after two refusals; the rest is for
   /// packets in flight.
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -25,6 +25,18 @@
 
 namespace chicory::token {
 
+/// Decisions that a deployment's settings ask for. All are off by default.
+struct BalancingOptions {
+  /// Judge servers by what callers' packets show of their responses.
+  bool OutlierDetection = false;
+  /// Refuse new flows of low priority while a service has no room.
+  bool PriorityAdmission = false;
+  /// Report "not ready" while this instance can't keep up with its packets.
+  bool OverloadReadiness = false;
+
+  bool operator==(const BalancingOptions &) const = default;
+};
+
 /// Settings of a core.
 struct CoreOptions {
   std::string Zone;
@@ -63,6 +75,7 @@
   /// Anyone can send packets with forged tokens, which must not exhaust the
   /// memory of an instance. Further flows are only dropped, not reset.
   size_t MaxUnknownFlows = 10'000;
+  BalancingOptions Balancing;
   Mechanisms Enabled;
 };
 
@@ -143,6 +156,7 @@
   void on(const BoundsChanged &event, Time now, Actions &actions);
   void on(const ProbeEnded &event, Time now, Actions &actions);
   void on(const BackendReportedUnreachable &event, Time now, Actions &actions);
+  void on(const BackendHealthReported &event, Time now, Actions &actions);
   void on(const Tick &event, Time now, Actions &actions);
 
   void openFlow(const PacketReceived &event, Time now, Actions &actions);
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -97,13 +97,30 @@
   BackendId Id;
 };
 
+/// How a server's health changed in the view of one instance.
+enum class HealthChange : uint8_t {
+  None,
+  Ejected,  ///< It gets no new flows, because it fails part of its requests.
+  Restored, ///< It gets new flows again.
+};
+
+/// Another instance that shares a server reports a change of its health.
+struct BackendHealthReported {
+  InstanceId Sender;
+  BackendId Id;
+  /// `Registration::StartedAtMs` of the server that the report is about.
+  int64_t StartedAtMs = 0;
+  HealthChange Change = HealthChange::None;
+};
+
 /// Advances timers; see `Core::nextTick` for when it is due.
 struct Tick {};
 
-using Event = std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
-                           BackendsLearned, ZoneDrainLearned, InstancesLearned,
-                           BackendsComplete, FreshnessUpdated, BoundsChanged,
-                           ProbeEnded, BackendReportedUnreachable, Tick>;
+using Event =
+    std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
+                 BackendsLearned, ZoneDrainLearned, InstancesLearned,
+                 BackendsComplete, FreshnessUpdated, BoundsChanged, ProbeEnded,
+                 BackendReportedUnreachable, BackendHealthReported, Tick>;
 
 /// Send the packet to a backend server, with this token written into it.
 struct Forward {
@@ -136,6 +153,14 @@
   BackendId Id;
 };
 
+/// Report a change of a server's health to the instances that share it.
+struct ReportHealth {
+  BackendId Id;
+  int64_t StartedAtMs = 0;
+  HealthChange Change = HealthChange::None;
+  std::vector<InstanceId> To;
+};
+
 /// A decision to write to the log.
 struct Decision {
   /// Name of the log event, one word; a string literal.
@@ -158,8 +183,8 @@
   std::optional<AddressConflict> Conflict;
 };
 
-using Action =
-    std::variant<Forward, ResetFlow, ProbeBackend, ReportUnreachable, Decision>;
+using Action = std::variant<Forward, ResetFlow, ProbeBackend, ReportUnreachable,
+                            ReportHealth, Decision>;
 using Actions = std::vector<Action>;
 
 } // namespace chicory::token
--- a/include/chicorybank/token/Mechanisms.h
+++ b/include/chicorybank/token/Mechanisms.h
@@ -44,6 +44,18 @@
   bool OutageGossip = true;
   /// The services that routes led to are recorded for instances that start.
   bool RouteHistory = true;
+  /// Servers that fail part of their requests get fewer new flows, then none.
+  bool OutlierDetection = true;
+  /// New flows go to a subset of the servers, so that this instance observes
+  /// each of them often enough to judge it.
+  bool ServerSubsets = true;
+  /// Instances tell those that share a server when they eject or restore it.
+  bool HealthReports = true;
+  /// New flows of low priority are refused while a service has no room.
+  bool PriorityAdmission = true;
+  /// An instance that can't keep up with its packets reports that it is not
+  /// ready.
+  bool OverloadReadiness = true;
 
   bool operator==(const Mechanisms &) const = default;
 };
@@ -54,7 +66,7 @@
   bool Mechanisms::*Switch;
 };
 
-inline constexpr std::array<MechanismName, 11> MechanismNames = {{
+inline constexpr std::array<MechanismName, 16> MechanismNames = {{
     {"suspicion", &Mechanisms::Suspicion},
     {"probes", &Mechanisms::Probes},
     {"shared_doubts", &Mechanisms::SharedDoubts},
@@ -66,6 +78,11 @@
     {"hold_at_start", &Mechanisms::HoldAtStart},
     {"reminders", &Mechanisms::OutageGossip},
     {"route_record", &Mechanisms::RouteHistory},
+    {"outlier_detection", &Mechanisms::OutlierDetection},
+    {"server_subsets", &Mechanisms::ServerSubsets},
+    {"health_reports", &Mechanisms::HealthReports},
+    {"priority_admission", &Mechanisms::PriorityAdmission},
+    {"overload_readiness", &Mechanisms::OverloadReadiness},
 }};
 
 } // namespace chicory::token
--- a/include/chicorybank/token/Routes.h
+++ b/include/chicorybank/token/Routes.h
@@ -28,6 +28,12 @@
   /// The requests may run more than once, so a caller may repeat a request
   /// whose outcome it does not know.
   bool Idempotent = false;
+  /// Zero is the highest priority.
+  uint32_t Priority = 0;
+  /// The time within which callers need the first byte of a response.
+  Duration Objective = std::chrono::seconds(1);
+  /// The time after which callers give a request up.
+  Duration Timeout = std::chrono::seconds(10);
 };
 
 /// An address and a service that its route leads to or has led to.
--- a/lib/edge/Settings.cpp
+++ b/lib/edge/Settings.cpp
@@ -76,6 +76,8 @@
   applyChange("times.max_flow_age", inUse.Core.MaxFlowAge,
               fresh.Core.MaxFlowAge, out.Applied);
   applyChange("times.grace", inUse.Grace, fresh.Grace, out.Applied);
+  noteChange("balancing.contracts", inUse.Contracts, fresh.Contracts,
+             out.AfterRestart);
   noteChange("mechanisms", inUse.Core.Enabled, fresh.Core.Enabled,
              out.AfterRestart);
   inUse.StopDelay = fresh.StopDelay;
@@ -125,6 +127,14 @@
         times->duration("max_flow_age", out.Core.MaxFlowAge, 1s, MaxDuration);
     out.Grace = times->duration("grace", out.Grace, 100ms, MaxDuration);
 
+    Section balancing(top, "balancing", file, findings);
+    for (const auto &[name, at] : balancing->texts("contracts"))
+      out.Contracts.push_back(name);
+    token::BalancingOptions &options = out.Core.Balancing;
+    options.OutlierDetection = balancing->flag("outlier_detection", false);
+    options.PriorityAdmission = balancing->flag("priority_admission", false);
+    options.OverloadReadiness = balancing->flag("overload_readiness", false);
+
     Section mechanisms(top, "mechanisms", file, findings);
     for (const token::MechanismName &it : token::MechanismNames)
       out.Core.Enabled.*it.Switch = mechanisms->flag(it.Key, true);
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -280,6 +280,9 @@
   Routes.setMaxFlowAge(event.MaxFlowAge);
 }
 
+void Core::on(const BackendHealthReported & /*event*/, Time /*now*/,
+              Actions & /*actions*/) {}
+
 void Core::on(const Tick & /*event*/, Time now, Actions &actions) {
   bool first = LastTick == Time{};
   // Packets of callers that show answers may still wait in the socket, so
--- a/tests/EdgeSettingsTest.cpp
+++ b/tests/EdgeSettingsTest.cpp
@@ -180,10 +180,15 @@
              {"platform.address", "10.200.1.7:8169"},
              {"bounds.config_apply_ms", "3000"},
              {"bounds.max_flow_s", "60"},
-             {"bounds.grace_s", "6"}})
+             {"bounds.grace_s", "6"},
+             {"#contracts}}\"{{.}}\"{{,}}{{/contracts", R"("base", "health")"}})
       fillIn(filled, "{{" + std::string(key) + "}}", value);
     Findings findings;
-    expectTrue(read(filled, findings).has_value(), findings.text());
+    auto settings = read(filled, findings);
+    expectTrue(settings.has_value(), findings.text());
+    expectTrue(settings->Contracts ==
+                   std::vector<std::string>{"base", "health"},
+               "the deployment's contracts");
   }
 };
 
