--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -97,13 +97,6 @@
   BackendId Id;
 };
 
-/// How a server's health changed in the view of one instance.
-enum class HealthChange : uint8_t {
-  None,
-  Ejected,  ///< It gets no new flows, because it fails part of its requests.
-  Restored, ///< It gets new flows again.
-};
-
 /// Another instance that shares a server reports a change of its health.
 struct BackendHealthReported {
   InstanceId Sender;
--- a/include/chicorybank/token/Types.h
+++ b/include/chicorybank/token/Types.h
@@ -44,6 +44,13 @@
   bool operator==(const ZonedInstance &) const = default;
 };
 
+/// How a server's health changed in the view of one instance.
+enum class HealthChange : uint8_t {
+  None,
+  Ejected,  ///< It gets no new flows, because it fails part of its requests.
+  Restored, ///< It gets new flows again.
+};
+
 /// The fields of a caller's packet that decisions depend on.
 struct FlowPacket {
   Address Caller;
