Judge servers by callers' packets and select among a subset of them

Responses that are short, or missing after the objective of their route, count against a server; the selection prefers the rest of this instance's subset.

--- a/include/chicorybank/base/Reasons.h
+++ b/include/chicorybank/base/Reasons.h
@@ -62,7 +62,9 @@
   X(RouteRemoved, "route_removed")                                             \
   X(NotCurrent, "not_current")                                                 \
   X(ZoneDrained, "zone_drained")                                               \
-  X(WarmingUp, "warming_up")
+  X(WarmingUp, "warming_up")                                                   \
+  X(ServiceOverloaded, "service_overloaded")                                   \
+  X(BackendFailing, "backend_failing")
 
 /// Why something was refused, retried or logged.
 enum class Reason : uint8_t {
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -16,6 +16,8 @@
 #include "chicorybank/token/FlowTracker.h"
 #include "chicorybank/token/Histogram.h"
 #include "chicorybank/token/Mechanisms.h"
+#include "chicorybank/token/PriorityAdmission.h"
+#include "chicorybank/token/ServerSelector.h"
 #include "chicorybank/token/Zones.h"
 
 #include <array>
@@ -66,6 +68,8 @@
   Duration SuspectFor = std::chrono::milliseconds(800);
   Duration SuspectForMax = std::chrono::seconds(4);
   ReachabilityOptions Probing;
+  SelectorOptions Selection;
+  AdmissionOptions Admission;
   ZoneOptions Zoning;
   /// A token that remains unknown for this long, while registrations are
   /// current, belongs to a server that has ended: registrations arrive within a
@@ -93,6 +97,22 @@
   uint64_t ProbesFailed = 0;
   /// Servers that got no new flows because their address was contested.
   uint64_t ContestedAddresses = 0;
+  /// Responses and requests without one, as far as they were judged.
+  uint64_t WholeResponses = 0;
+  uint64_t ShortResponses = 0;
+  uint64_t OverdueRequests = 0;
+  uint64_t Ejections = 0;
+  uint64_t Restores = 0;
+  /// Health reports sent, counted once for each receiver, and received.
+  uint64_t HealthReportsSent = 0;
+  uint64_t HealthReportsApplied = 0;
+  uint64_t HealthReportsIgnored = 0;
+  /// New flows by where their server was found.
+  uint64_t SubsetChoices = 0;
+  uint64_t OtherZoneChoices = 0;
+  uint64_t FullScans = 0;
+  /// Choices that ignored the health of servers, since most looked unhealthy.
+  uint64_t PanicChoices = 0;
   /// Time from an opening sent to the caller's next packet.
   Histogram HandshakeTime;
   /// Time from the data of a request to the first sign of its answer.
@@ -175,7 +195,31 @@
                             BackendIndex avoid, Time now);
   /// Returns the reason why a route has no server for a new flow.
   Reason whyNoServer(const Route &route) const;
-  BackendIndex chooseServerOf(ServiceId service, BackendIndex avoid, Time now);
+  BackendIndex chooseServerOf(ServiceId service, bool idempotent,
+                              BackendIndex avoid, Time now);
+  BackendIndex scanServersOf(ServiceId service, BackendIndex avoid, Time now);
+  BackendIndex selectByHealth(ServiceId service, bool idempotent,
+                              BackendIndex avoid, Time now);
+  /// Returns true if servers are selected by what was observed of them.
+  bool selectsByHealth() const {
+    return Options.Balancing.OutlierDetection &&
+           Options.Enabled.OutlierDetection;
+  }
+  bool mayBeAdmitted(const FlowPacket &head, const Route &route, BackendIndex i,
+                     Time now);
+  void onFlowOpened(BackendIndex i, Time now);
+  void updatePriorities(const RouteSet &routes);
+
+  void trackResponse(const FlowPacket &head, FlowState &flow, Time now,
+                     Actions &actions);
+  void finishResponse(const FlowKey &key, FlowState &flow, Time now,
+                      Actions &actions);
+  void checkResponse(const FlowKey &key, FlowState &flow, Time now,
+                     Actions &actions);
+  void recordOutcome(BackendIndex i, bool good, HealthChange change, Time now,
+                     Actions &actions);
+  void announceHealth(BackendIndex i, HealthChange change, Time now,
+                      Actions &actions);
   double costOf(const Backend &backend, bool ownZoneFirst, Time now);
   /// Returns whether a new flow of a service prefers servers of the own zone.
   bool prefersOwnZone(ServiceId service);
@@ -242,7 +286,7 @@
   /// Forgets a tracked flow that is too old for a new opening packet to belong
   /// to it.
   void forgetEarlierFlow(const FlowKey &key, Time now);
-  void sweep(Time now);
+  void sweep(Time now, Actions &actions);
 
   void send(BackendIndex i, Bytes raw, Actions &actions);
   /// Appends a decision, with the time, the version and the age of the updates.
@@ -285,6 +329,9 @@
   Backends Servers;
   WarmUpLimits WarmUps;
   Zones ZoneView;
+  ServerSelector Selector;
+  Selection LastSelection;
+  PriorityAdmission Admission;
   FlowTracker Flows;
   std::deque<Opening> Openings;
   std::deque<Request> Requests;
--- a/include/chicorybank/token/FlowTracker.h
+++ b/include/chicorybank/token/FlowTracker.h
@@ -10,6 +10,7 @@
 
 #include "chicorybank/base/Hash.h"
 #include "chicorybank/token/Backends.h"
+#include "chicorybank/token/ResponseEvidence.h"
 
 #include <unordered_map>
 
@@ -26,6 +27,9 @@
   /// The opening packet was sent, and no packet shows yet that it was answered.
   bool Opening = true;
   bool RequestInProgress = false;
+  /// This instance has seen the flow from its opening on, so what it sees of a
+  /// response is all of it.
+  bool SeenFromOpening = false;
   uint32_t LastSequence = 0;
   uint32_t LastAcknowledged = 0;
   /// When the opening packet was last sent to `Backend`.
@@ -36,6 +40,7 @@
   /// When data was last sent, and when the request in progress started.
   Time DataAt;
   Time RequestSince;
+  ResponseProgress Response;
 };
 
 struct FlowKeyHash {
--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -7,7 +7,8 @@
 //   if (found.Server != NoBackend)
 //     selector.onFlowOpened(found.Server, servers, now);
 //   ...
-//   HealthChange change = selector.onResponse(server, response, servers, now);
+//   JudgedResponse judged =
+//       selector.onResponse(server, route, response, servers, now);
 //
 // It combines the parts of docs/design/server-selection.md: subsets make the
 // evidence dense, outlier detection turns it into a judgement of each server,
@@ -66,6 +67,12 @@
   uint32_t SlotsHere = 0;
 };
 
+/// How a response was judged, and what that changed.
+struct JudgedResponse {
+  ResponseKind Kind = ResponseKind::Whole;
+  HealthChange Change = HealthChange::None;
+};
+
 /// Not thread-safe.
 class ServerSelector {
 public:
@@ -84,9 +91,9 @@
   void onFlowOpened(BackendIndex i, const Backends &servers, Time now);
 
   /// Judges a response, and learns the usual size and time of the route.
-  HealthChange onResponse(BackendIndex i, Address route,
-                          const ObservedResponse &response,
-                          const Backends &servers, Time now);
+  JudgedResponse onResponse(BackendIndex i, Address route,
+                            const ObservedResponse &response,
+                            const Backends &servers, Time now);
   /// A request has no sign of a response after the objective of its route.
   HealthChange onOverdue(BackendIndex i, const Backends &servers, Time now);
   HealthChange onReport(BackendIndex i, HealthChange change,
--- a/lib/token/BackendSelection.cpp
+++ b/lib/token/BackendSelection.cpp
@@ -55,8 +55,47 @@
   return out + std::uniform_real_distribution<double>(0, TieSpread)(Random);
 }
 
-BackendIndex Core::chooseServerOf(ServiceId service, BackendIndex avoid,
-                                  Time now) {
+BackendIndex Core::chooseServerOf(ServiceId service, bool idempotent,
+                                  BackendIndex avoid, Time now) {
+  LastSelection = {};
+  if (selectsByHealth()) {
+    BackendIndex out = selectByHealth(service, idempotent, avoid, now);
+    if (out != NoBackend)
+      return out;
+    ++Stats.FullScans;
+  }
+  return scanServersOf(service, avoid, now);
+}
+
+/// Selects a server by what was observed of the servers of this instance's
+/// subset. Returns `NoBackend` if none of them can be used.
+BackendIndex Core::selectByHealth(ServiceId service, bool idempotent,
+                                  BackendIndex avoid, Time now) {
+  auto eligible = [&](BackendIndex i) {
+    const Backend &backend = Servers.at(i);
+    return backend.acceptsNewFlows() && WarmUps.mayOpen(backend, now) &&
+           i != avoid && !isAvoided(backend, now) && !Servers.sharesToken(i);
+  };
+  LastSelection = Selector.select({.Service = service,
+                                   .Idempotent = idempotent,
+                                   .OwnZoneFirst = prefersOwnZone(service)},
+                                  Servers, eligible, now);
+  ZoneView.recordLoad(service, LastSelection.LoadHere, LastSelection.SlotsHere,
+                      now);
+  Stats.SubsetChoices += LastSelection.Source == SelectionSource::Subset;
+  Stats.OtherZoneChoices += LastSelection.Source == SelectionSource::OtherZone;
+  Stats.PanicChoices += LastSelection.Panic;
+  return LastSelection.Server;
+}
+
+void Core::onFlowOpened(BackendIndex i, Time now) {
+  WarmUps.onFlowOpened(Servers.at(i), now);
+  if (selectsByHealth())
+    Selector.onFlowOpened(i, Servers, now);
+}
+
+BackendIndex Core::scanServersOf(ServiceId service, BackendIndex avoid,
+                                 Time now) {
   BackendIndex out = NoBackend;
   double lowest = std::numeric_limits<double>::max();
   bool ownZoneFirst = prefersOwnZone(service);
@@ -115,7 +154,7 @@
         route.Services[(first + n) % route.Services.size()];
     if (it.Weight == 0)
       continue;
-    BackendIndex out = chooseServerOf(it.Service, avoid, now);
+    BackendIndex out = chooseServerOf(it.Service, route.Idempotent, avoid, now);
     if (out != NoBackend)
       return out;
   }
@@ -200,7 +239,7 @@
       continue;
     FlowState &moved = trackFlow(it.Flow, to, now);
     moved.SentAt = now;
-    WarmUps.onFlowOpened(Servers.at(to), now);
+    onFlowOpened(to, now);
     moved.AlsoSentTo = Servers.at(from).Info.Id;
     it.SentAt = now;
     it.Counted = true;
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -27,7 +27,9 @@
 Core::Core(CoreOptions options)
     : Options(std::move(options)), Routes(Options.MaxFlowAge),
       Servers(Options.Servers), WarmUps(Options.Self),
-      ZoneView(Options.Zone, Options.Zoning), Random(Options.Seed) {}
+      ZoneView(Options.Zone, Options.Zoning),
+      Selector(Options.Zone, Options.Self, Options.Selection),
+      Admission(Options.Admission), Random(Options.Seed) {}
 
 void Core::handle(const Event &event, Time now, Actions &actions) {
   Resent.clear();
@@ -73,6 +75,8 @@
     return drop(head, Reason::NotCurrent, now, actions);
   if (i == NoBackend)
     return reset(head, whyNoServer(*route), NoBackend, now, actions);
+  if (avoid == NoBackend && !mayBeAdmitted(head, *route, i, now))
+    return reset(head, Reason::ServiceOverloaded, i, now, actions);
   ++Stats.Opened;
   if (CurrentAt == NeverCurrent)
     ++Stats.OpenedUnconfirmed;
@@ -93,7 +97,7 @@
   if (flow.Opening) {
     // A copy of an opening is not counted again.
     if (flow.SentAt == Time{})
-      WarmUps.onFlowOpened(Servers.at(i), now);
+      onFlowOpened(i, now);
     flow.SentAt = now;
     Openings.push_back({.Flow = key,
                         .SentAt = now,
@@ -210,6 +214,7 @@
   if (!Routes.learn(event.Routes, now))
     return;
   WarmUps.setServices(event.Routes.WarmUps);
+  updatePriorities(event.Routes);
   if (auto age = updateAge(now))
     Stats.RoutesAge.add(*age);
   addDecision({.What = "routes_in_force"}, now, actions);
@@ -252,6 +257,7 @@
 
 void Core::on(const InstancesLearned &event, Time now, Actions & /*actions*/) {
   WarmUps.setInstances(event.Instances, now);
+  Selector.setInstances(event.Instances);
   ZoneView.setInstances(event.Instances);
 }
 
@@ -280,9 +286,6 @@
   Routes.setMaxFlowAge(event.MaxFlowAge);
 }
 
-void Core::on(const BackendHealthReported & /*event*/, Time /*now*/,
-              Actions & /*actions*/) {}
-
 void Core::on(const Tick & /*event*/, Time now, Actions &actions) {
   bool first = LastTick == Time{};
   // Packets of callers that show answers may still wait in the socket, so
@@ -299,7 +302,7 @@
     return;
   LastSweep = now;
   expireServers(canTrustMissing(now), now, actions);
-  sweep(now);
+  sweep(now, actions);
 }
 
 /// Resets the flows of earlier processes of restarted servers. A restarted
@@ -312,6 +315,7 @@
 /// the server.
 void Core::resetFlowsOfRestarted(int64_t readAt, Time now, Actions &actions) {
   for (BackendIndex i : Servers.takeRestarted()) {
+    Selector.onRestart(i);
     Backend &backend = Servers.at(i);
     addDecision({.What = "backend_restarted", .Backend = backend.Info.Id}, now,
                 actions);
--- a/lib/token/FlowTracking.cpp
+++ b/lib/token/FlowTracking.cpp
@@ -25,13 +25,19 @@
 void Core::trackPacket(const FlowPacket &head, BackendIndex i, Time now,
                        Actions &actions) {
   FlowKey key = head.key();
-  if (head.Finish || head.Reset)
+  if (head.Finish || head.Reset) {
+    if (FlowState *flow = flowOf(key); flow && head.Finish) {
+      flow->Response.onAcknowledged(head.Acknowledged, now);
+      finishResponse(key, *flow, now, actions);
+    }
     return forget(key);
+  }
   FlowState &flow = trackFlow(key, i, now);
   if (flow.Opening) {
     flow.Opening = false;
     --Servers.at(i).Opening;
     if (flow.SentAt != Time{}) {
+      flow.SeenFromOpening = true;
       Duration took = now - flow.SentAt;
       Handshake += (took - Handshake) / SmoothingDivisor;
       Stats.HandshakeTime.add(took);
@@ -46,6 +52,7 @@
 
 void Core::trackData(const FlowPacket &head, FlowState &flow, Time now,
                      Actions &actions) {
+  trackResponse(head, flow, now, actions);
   bool answered = head.Acknowledged != flow.LastAcknowledged;
   // A packet with data may acknowledge the end of an answer that arrived long
   // before. An acknowledgement without data responds to what has just arrived.
@@ -143,7 +150,7 @@
     forget(key);
 }
 
-void Core::sweep(Time now) {
+void Core::sweep(Time now, Actions &actions) {
   for (auto it = Flows.begin(); it != Flows.end();) {
     FlowState &flow = it->second;
     Duration idle = now - flow.LastSeen;
@@ -155,6 +162,7 @@
     if (flow.RequestInProgress && idle > MaxRequestAge) {
       endRequest(flow);
     }
+    checkResponse(it->first, flow, now, actions);
     ++it;
   }
   std::erase_if(Unknown, [&](const auto &it) {
--- /dev/null
+++ b/lib/token/ResponseTracking.cpp
@@ -0,0 +1,139 @@
+// Judges backend servers by their responses, as far as callers' packets show
+// them, and new flows by the room that is left (ServerSelector.h).
+
+#include "chicorybank/token/Core.h"
+
+#include <algorithm>
+#include <map>
+
+namespace chicory::token {
+
+namespace {
+
+// A response on a flow that stays open is complete once the caller has
+// acknowledged nothing for this long. Longer than a retransmission.
+constexpr Duration ResponseIdleTime = std::chrono::milliseconds(300);
+
+} // namespace
+
+/// Follows the request in progress on a flow, if this instance has seen the
+/// flow from its opening on. Otherwise it may have missed the first part of a
+/// response, which would look too short.
+void Core::trackResponse(const FlowPacket &head, FlowState &flow, Time now,
+                         Actions &actions) {
+  if (!selectsByHealth() || !flow.SeenFromOpening)
+    return;
+  if (head.DataBytes == 0)
+    return flow.Response.onAcknowledged(head.Acknowledged, now);
+  if (flow.RequestInProgress)
+    return;
+  finishResponse(head.key(), flow, now, actions);
+  flow.Response.onRequest(head.Acknowledged, now);
+}
+
+void Core::finishResponse(const FlowKey &key, FlowState &flow, Time now,
+                          Actions &actions) {
+  std::optional<ObservedResponse> response = flow.Response.finish(now);
+  if (!response || Servers.at(flow.Backend).Info.Id != flow.Id)
+    return;
+  JudgedResponse judged = Selector.onResponse(flow.Backend, key.Destination,
+                                              *response, Servers, now);
+  bool whole = judged.Kind == ResponseKind::Whole;
+  ++(whole ? Stats.WholeResponses : Stats.ShortResponses);
+  // An overdue response was counted when it became overdue.
+  if (!whole || !response->WasOverdue)
+    recordOutcome(flow.Backend, whole, judged.Change, now, actions);
+}
+
+/// Checks a flow for a response that has ended without a packet that shows so,
+/// and for a request that waits for longer than its callers can.
+void Core::checkResponse(const FlowKey &key, FlowState &flow, Time now,
+                         Actions &actions) {
+  if (flow.Response.isAnswered() && !flow.RequestInProgress &&
+      now - flow.LastSeen > ResponseIdleTime)
+    return finishResponse(key, flow, now, actions);
+  const Route *route = Routes.find(key.Destination);
+  if (!route || !flow.Response.isWaiting())
+    return;
+  if (flow.Response.becameOverdue(route->Objective, now)) {
+    ++Stats.OverdueRequests;
+    HealthChange change = Selector.onOverdue(flow.Backend, Servers, now);
+    recordOutcome(flow.Backend, false, change, now, actions);
+  }
+  // The caller has given up. Until its flow is forgotten, its request would
+  // count as load of the server.
+  if (flow.RequestInProgress &&
+      now - flow.Response.requestedAt() > route->Timeout)
+    endRequest(flow);
+}
+
+void Core::recordOutcome(BackendIndex i, bool good, HealthChange change,
+                         Time now, Actions &actions) {
+  const Registration &info = Servers.at(i).Info;
+  if (Selector.outliers().use(i, info.Id, now) == ServerUse::Normal)
+    Admission.recordOutcome(info.Service, good, now);
+  if (change != HealthChange::None)
+    announceHealth(i, change, now, actions);
+}
+
+/// Logs a change of a server's health and reports it to the instances that
+/// share the server, so that not each of them has to lose requests there.
+void Core::announceHealth(BackendIndex i, HealthChange change, Time now,
+                          Actions &actions) {
+  const Registration &info = Servers.at(i).Info;
+  bool ejected = change == HealthChange::Ejected;
+  ++(ejected ? Stats.Ejections : Stats.Restores);
+  addDecision({.What = ejected ? "backend_ejected" : "backend_restored",
+               .Why = ejected ? Reason::BackendFailing : Reason::None,
+               .Backend = info.Id},
+              now, actions);
+  if (!Options.Enabled.HealthReports)
+    return;
+  std::vector<InstanceId> receivers = Selector.sharers(i, Servers);
+  if (receivers.empty())
+    return;
+  Stats.HealthReportsSent += receivers.size();
+  actions.emplace_back(ReportHealth{.Id = info.Id,
+                                    .StartedAtMs = info.StartedAtMs,
+                                    .Change = change,
+                                    .To = std::move(receivers)});
+}
+
+void Core::on(const BackendHealthReported &event, Time now,
+              Actions & /*actions*/) {
+  BackendIndex i = Servers.find(event.Id);
+  bool isKnown = i != NoBackend &&
+                 Servers.at(i).Info.StartedAtMs == event.StartedAtMs &&
+                 Selector.isListed(event.Sender);
+  if (!selectsByHealth() || !Options.Enabled.HealthReports || !isKnown) {
+    ++Stats.HealthReportsIgnored;
+    return;
+  }
+  ++Stats.HealthReportsApplied;
+  Selector.onReport(i, event.Change, Servers, now);
+}
+
+/// Returns false if the flow must be refused because its service has no room
+/// for flows of its priority. Only a first opening may be refused: after a
+/// copy, the request may run.
+bool Core::mayBeAdmitted(const FlowPacket &head, const Route &route,
+                         BackendIndex i, Time now) {
+  bool controlled = Options.Balancing.PriorityAdmission &&
+                    Options.Enabled.PriorityAdmission && selectsByHealth();
+  if (!controlled || head.OpenCopy != 0)
+    return true;
+  return Admission.admit(Servers.at(i).Info.Service, route.Priority,
+                         head.Caller.Ip, LastSelection.RoomKnown, now);
+}
+
+/// Collects the priorities of the routes that lead to each service.
+void Core::updatePriorities(const RouteSet &routes) {
+  std::map<ServiceId, std::vector<uint32_t>> priorities;
+  for (const Route &route : routes.Routes)
+    for (const WeightedService &it : route.Services)
+      priorities[it.Service].push_back(route.Priority);
+  for (auto &[service, list] : priorities)
+    Admission.setPriorities(service, std::move(list));
+}
+
+} // namespace chicory::token
--- a/lib/token/ServerSelector.cpp
+++ b/lib/token/ServerSelector.cpp
@@ -70,14 +70,14 @@
     const Backend &backend = servers.at(it.Server);
     BackendId id = backend.Info.Id;
     double slots = std::max<uint32_t>(backend.Info.Slots, 1);
-    double cost = expectedCost(
-        {.Server = it.Server,
-         .Weight = it.Weight,
-         .Load = backend.load() * UsualSlots / slots,
-         .Recent = Recent.at(it.Server, id, now),
-         .Slowness = Outliers.slowness(it.Server, id),
-         .FailureShare = Outliers.failureShare(it.Server, id, now),
-         .Penalty = penalty});
+    double cost =
+        expectedCost({.Server = it.Server,
+                      .Weight = it.Weight,
+                      .Load = backend.load() * UsualSlots / slots,
+                      .Recent = Recent.at(it.Server, id, now),
+                      .Slowness = Outliers.slowness(it.Server, id),
+                      .FailureShare = Outliers.failureShare(it.Server, id, now),
+                      .Penalty = penalty});
     out.RoomKnown |=
         backend.load() == 0 && answeredRecently(it.Server, id, now);
     if (ranking.Best != NoBackend && cost >= ranking.Cost)
@@ -97,9 +97,8 @@
   for (const SubsetMember &it : members)
     out.LoadHere += servers.at(it.Server).load();
   rank(members, request, servers, 0, now, out, ranking);
-  bool ownZoneIsBusy =
-      ranking.Best == NoBackend ||
-      servers.at(ranking.Best).load() >= Options.SpillAtLoad;
+  bool ownZoneIsBusy = ranking.Best == NoBackend ||
+                       servers.at(ranking.Best).load() >= Options.SpillAtLoad;
   if (ownZoneIsBusy || !request.OwnZoneFirst) {
     BackendIndex bestHere = ranking.Best;
     double penalty = request.OwnZoneFirst ? Options.SpillAtLoad : 0;
@@ -132,22 +131,23 @@
          now - Sightings[i].WholeAt < Options.RoomKnownFor;
 }
 
-HealthChange ServerSelector::onResponse(BackendIndex i, Address route,
-                                        const ObservedResponse &response,
-                                        const Backends &servers, Time now) {
+JudgedResponse ServerSelector::onResponse(BackendIndex i, Address route,
+                                          const ObservedResponse &response,
+                                          const Backends &servers, Time now) {
   const Registration &info = servers.at(i).Info;
-  bool whole = Baselines.classify(route, response) == ResponseKind::Whole;
+  JudgedResponse out{.Kind = Baselines.classify(route, response)};
+  bool whole = out.Kind == ResponseKind::Whole;
   if (whole) {
     if (Sightings.size() <= i)
       Sightings.resize(servers.indexEnd());
     Sightings[i] = {.Id = info.Id, .WholeAt = now};
     if (auto relative = Baselines.relativeTime(route, response.Took))
       Outliers.recordTime(i, info.Id, *relative);
-    // It was counted as a failure when it became overdue.
-    if (response.WasOverdue)
-      return HealthChange::None;
   }
-  return Outliers.record(i, info.Id, info.Service, whole, now);
+  // An overdue response was counted as a failure when it became overdue.
+  if (!whole || !response.WasOverdue)
+    out.Change = Outliers.record(i, info.Id, info.Service, whole, now);
+  return out;
 }
 
 HealthChange ServerSelector::onOverdue(BackendIndex i, const Backends &servers,
