Keep servers whose registrations only miss in the subsets

All registrations may expire while the registry is down and return one by one. With only the servers that are back in the subsets, all instances would send all new flows to these.

--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -125,6 +125,13 @@
   bool acceptsNewFlows() const {
     return State == BackendState::Ready && !ZoneDrained && !AddressContested;
   }
+  /// Returns true if the server accepts new flows, or would if its registration
+  /// is missing only because of the registry.
+  bool mayAcceptNewFlows() const {
+    bool missing = State == BackendState::Missing && !Info.Draining;
+    return (State == BackendState::Ready || missing) && !ZoneDrained &&
+           !AddressContested;
+  }
   bool isSuspect(Time now) const { return now < SuspectUntil; }
   /// Returns the load that this instance has placed on the server. An opening
   /// announces a request, so it counts too; otherwise a server that answers no
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -207,6 +207,13 @@
   }
   bool mayBeAdmitted(const FlowPacket &head, const Route &route, BackendIndex i,
                      Time now);
+  /// Returns true if a server would accept new flows if its registration were
+  /// not missing.
+  bool isMissingOnly(const Backend &backend) const {
+    return Options.Enabled.MissingAsLastResort &&
+           backend.State == BackendState::Missing &&
+           backend.mayAcceptNewFlows();
+  }
   void onFlowOpened(BackendIndex i, Time now);
   void updatePriorities(const RouteSet &routes);
 
--- a/include/chicorybank/token/ServerSubsets.h
+++ b/include/chicorybank/token/ServerSubsets.h
@@ -27,7 +27,7 @@
     S &s = Map[service.Value];
     if (s.At != Time{} && now - s.At < std::chrono::milliseconds(250)) return;
     s = {}; s.At = now;
-    for (BackendIndex i : servers.ofService(service)) { const Backend &b = servers.at(i); if (!b.acceptsNewFlows()) continue; if (b.Info.Zone == Own) s.Slots += b.Info.Slots; s.Rings[b.Info.Zone].push_back(i); }
+    for (BackendIndex i : servers.ofService(service)) { const Backend &b = servers.at(i); if (!b.mayAcceptNewFlows()) continue; if (b.Info.Zone == Own) s.Slots += b.Info.Slots; s.Rings[b.Info.Zone].push_back(i); }
     for (auto &[z, r] : s.Rings) { s.Zones.push_back(z); std::sort(r.begin(), r.end(), [&](auto a, auto b) { return mixHash(0x77, servers.at(a).Info.Id.Value) < mixHash(0x77, servers.at(b).Info.Id.Value); }); }
   }
   template <typename U> void select(ServiceId service, const std::string &zone, U usable, std::vector<SubsetMember> &out) const {
--- a/lib/token/BackendSelection.cpp
+++ b/lib/token/BackendSelection.cpp
@@ -71,10 +71,15 @@
 /// subset. Returns `NoBackend` if none of them can be used.
 BackendIndex Core::selectByHealth(ServiceId service, bool idempotent,
                                   BackendIndex avoid, Time now) {
+  // While all registrations expire with the registry, missing servers count in
+  // full (see `scanServersOf`).
+  bool missingAreUsual = !canTrustMissing(now);
   auto eligible = [&](BackendIndex i) {
     const Backend &backend = Servers.at(i);
-    return backend.acceptsNewFlows() && WarmUps.mayOpen(backend, now) &&
-           i != avoid && !isAvoided(backend, now) && !Servers.sharesToken(i);
+    bool accepts = backend.acceptsNewFlows() ||
+                   (missingAreUsual && isMissingOnly(backend));
+    return accepts && WarmUps.mayOpen(backend, now) && i != avoid &&
+           !isAvoided(backend, now) && !Servers.sharesToken(i);
   };
   LastSelection = Selector.select({.Service = service,
                                    .Idempotent = idempotent,
@@ -113,10 +118,7 @@
       loadHere += backend.load();
       slotsHere += backend.acceptsNewFlows() ? backend.Info.Slots : 0;
     }
-    bool missing = Options.Enabled.MissingAsLastResort &&
-                   backend.State == BackendState::Missing &&
-                   !backend.Info.Draining && !backend.ZoneDrained &&
-                   !backend.AddressContested;
+    bool missing = isMissingOnly(backend);
     if ((!backend.acceptsNewFlows() && !missing) ||
         !WarmUps.mayOpen(backend, now))
       continue;
