--- a/include/chicorybank/token/OutlierDetector.h
+++ b/include/chicorybank/token/OutlierDetector.h
@@ -42,6 +42,7 @@
     else if (h.Trial) { h.Until = std::min(h.Until, now); h.Goods = std::max(h.Goods, 2u); }
     return HealthChange::None;
   }
+  void recordStall(BackendIndex i, BackendId id, Time) { H &h = of(i, id); h.Score = std::max(h.Score, 2.5); }
   void forget(BackendIndex i) { if (i < V.size()) V[i] = {}; }
   size_t ejected(ServiceId s, Time) const { size_t n = 0; for (auto &h : V) n += h.Trial && h.Service == s; return n; }
 };
--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -96,6 +96,11 @@
                             const Backends &servers, Time now);
   /// A request has no sign of a response after the objective of its route.
   HealthChange onOverdue(BackendIndex i, const Backends &servers, Time now);
+  /// The server has left an opening unanswered.
+  HealthChange onUnanswered(BackendIndex i, const Backends &servers, Time now);
+  /// A request has waited for several times the usual time, and the server has
+  /// answered nothing since.
+  void onStall(BackendIndex i, const Backends &servers, Time now);
   HealthChange onReport(BackendIndex i, HealthChange change,
                         const Backends &servers, Time now);
   void onRestart(BackendIndex i) { Outliers.forget(i); }
--- a/lib/token/BackendSelection.cpp
+++ b/lib/token/BackendSelection.cpp
@@ -265,8 +265,14 @@
       continue;
     it.Counted = true;
     FlowState *flow = flowOf(it.Flow);
-    if (flow && flow->Opening && flow->SentAt == it.SentAt)
-      recordUnanswered(flow->Backend, now, actions);
+    if (!flow || !flow->Opening || flow->SentAt != it.SentAt)
+      continue;
+    if (selectsByHealth()) {
+      HealthChange change = Selector.onUnanswered(flow->Backend, Servers, now);
+      if (change != HealthChange::None)
+        announceHealth(flow->Backend, change, now, actions);
+    }
+    recordUnanswered(flow->Backend, now, actions);
   }
   while (!Openings.empty() && now - Openings.front().SentAt > MoveWithin)
     Openings.pop_front();
--- a/lib/token/Reachability.cpp
+++ b/lib/token/Reachability.cpp
@@ -342,6 +342,8 @@
     if (!flow || !flow->RequestInProgress || flow->RequestSince != it.SentAt ||
         Servers.at(flow->Backend).LastProgress >= it.SentAt)
       continue;
+    if (selectsByHealth())
+      Selector.onStall(flow->Backend, Servers, now);
     const Reachability &reach = Servers.at(flow->Backend).Probes;
     if (reach.Failures == 0 && isDistrusted(reach, now) &&
         !hadRecentFalseAlarm(now))
--- a/lib/token/ServerSelector.cpp
+++ b/lib/token/ServerSelector.cpp
@@ -157,6 +157,17 @@
   return Outliers.record(i, info.Id, info.Service, false, now);
 }
 
+HealthChange ServerSelector::onUnanswered(BackendIndex i,
+                                          const Backends &servers, Time now) {
+  const Registration &info = servers.at(i).Info;
+  return Outliers.record(i, info.Id, info.Service, false, now);
+}
+
+void ServerSelector::onStall(BackendIndex i, const Backends &servers,
+                             Time now) {
+  Outliers.recordStall(i, servers.at(i).Info.Id, now);
+}
+
 HealthChange ServerSelector::onReport(BackendIndex i, HealthChange change,
                                       const Backends &servers, Time now) {
   return Outliers.applyReport(i, servers.at(i).Info.Id, change, now);
