--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -100,6 +100,7 @@
   /// Responses and requests without one, as far as they were judged.
   uint64_t WholeResponses = 0;
   uint64_t ShortResponses = 0;
+  uint64_t StalledRequests = 0;
   uint64_t OverdueRequests = 0;
   uint64_t Ejections = 0;
   uint64_t Restores = 0;
@@ -223,6 +224,7 @@
                       Actions &actions);
   void checkResponse(const FlowKey &key, FlowState &flow, Time now,
                      Actions &actions);
+  void recordStall(FlowState &flow, Time now, Actions &actions);
   void recordOutcome(BackendIndex i, bool good, HealthChange change, Time now,
                      Actions &actions);
   void announceHealth(BackendIndex i, HealthChange change, Time now,
--- a/include/chicorybank/token/OutlierDetector.h
+++ b/include/chicorybank/token/OutlierDetector.h
@@ -8,7 +8,7 @@
 enum class ServerUse : uint8_t { Normal, Trial, None };
 struct OutlierOptions { double OverdueSlowness = 8; };
 class OutlierDetector {
-  struct H { BackendId Id; ServiceId Service; double LogSlow = 0; uint32_t Samples = 0; double Score = 0, Good = 0, Bad = 0; Time AgedAt, Until, TrialAt, At; uint32_t Times = 0, Goods = 0; bool Trial = false; };
+  struct H { BackendId Id; ServiceId Service; double LogSlow = 0; uint32_t Samples = 0; double Score = 0, Good = 0, Bad = 0; Time AgedAt, Until, TrialAt, At; uint32_t Times = 0, Goods = 0; bool Trial = false; InstanceId Sender; Time ReportAt; };
   mutable std::vector<H> V;
   H &of(BackendIndex i, BackendId id) { if (V.size() <= i) V.resize(i + 1); if (V[i].Id != id) { V[i] = {}; V[i].Id = id; } return V[i]; }
   const H *get(BackendIndex i, BackendId id) const { return i < V.size() && V[i].Id == id ? &V[i] : nullptr; }
@@ -36,13 +36,14 @@
   ServerUse use(BackendIndex i, BackendId id, Time now) const { const H *h = get(i, id); if (!h || !h->Trial) return ServerUse::Normal; if (now < h->Until || now - h->TrialAt < std::chrono::milliseconds(250)) return ServerUse::None; return ServerUse::Trial; }
   bool isDoubtful(BackendIndex i, BackendId id, Time) const { const H *h = get(i, id); return h && h->Score > 2; }
   void onTrial(BackendIndex i, BackendId id, Time now) { H &h = of(i, id); if (h.Trial) h.TrialAt = now; }
-  HealthChange applyReport(BackendIndex i, BackendId id, HealthChange r, Time now) {
+  HealthChange applyReport(BackendIndex i, BackendId id, InstanceId from, HealthChange r, Time now) {
     H &h = of(i, id);
-    if (r == HealthChange::Ejected) { if (h.Trial) { h.Until = std::max(h.Until, now + std::chrono::seconds(1)); h.Goods = 0; } else h.Score = std::max(h.Score, 3.0); }
+    if (r == HealthChange::Ejected) { if (h.Trial) { h.Until = std::max(h.Until, now + std::chrono::seconds(1 << std::min(std::max(h.Times, 1u) - 1, 3u))); h.Goods = 0; } else { h.Score = std::max(h.Score, 3.0); if (h.Sender.Value && h.Sender != from && now - h.ReportAt < std::chrono::seconds(8)) { h.Trial = true; h.Goods = 0; h.Until = now + std::chrono::seconds(1); } h.Sender = from; h.ReportAt = now; } }
     else if (h.Trial) { h.Until = std::min(h.Until, now); h.Goods = std::max(h.Goods, 2u); }
     return HealthChange::None;
   }
-  void recordStall(BackendIndex i, BackendId id, Time) { H &h = of(i, id); h.Score = std::max(h.Score, 2.5); }
+  HealthChange recordStall(BackendIndex i, BackendId id, ServiceId s, Time now) { return record(i, id, s, false, now); }
+  void withdrawStall(BackendIndex i, BackendId id, Time now) { H &h = of(i, id); age(h, now); h.Bad = std::max(0.0, h.Bad - 1); h.Score = std::max(0.0, h.Score - 3); }
   void forget(BackendIndex i) { if (i < V.size()) V[i] = {}; }
   size_t ejected(ServiceId s, Time) const { size_t n = 0; for (auto &h : V) n += h.Trial && h.Service == s; return n; }
 };
--- a/include/chicorybank/token/ResponseEvidence.h
+++ b/include/chicorybank/token/ResponseEvidence.h
@@ -8,11 +8,11 @@
 #include <optional>
 #include <unordered_map>
 namespace chicory::token {
-struct ObservedResponse { uint32_t Bytes = 0; Duration Took = Duration::zero(); bool WasOverdue = false; };
+struct ObservedResponse { uint32_t Bytes = 0; Duration Took = Duration::zero(); bool WasStalled = false, WasOverdue = false; };
 enum class ResponseKind : uint8_t { Whole, Short };
 class ResponseProgress {
 public:
-  void onRequest(uint32_t a, Time now) { Start = Max = a; At = now; First = {}; Active = true; Overdue = false; }
+  void onRequest(uint32_t a, Time now) { Start = Max = a; At = now; First = {}; Active = true; Overdue = Stalled = false; }
   void onAcknowledged(uint32_t a, Time now) {
     if (!Active || static_cast<int32_t>(a - Max) <= 0) return;
     if (First == Time{}) First = now;
@@ -21,17 +21,19 @@
   std::optional<ObservedResponse> finish(Time) {
     bool had = Active && Max != Start; Active = false;
     if (!had) return std::nullopt;
-    return ObservedResponse{Max - Start, First - At, Overdue};
+    return ObservedResponse{Max - Start, First - At, Stalled, Overdue};
   }
   bool isWaiting() const { return Active && First == Time{}; }
   bool isAnswered() const { return Active && First != Time{}; }
+  bool markStalled() { return isWaiting() && !Stalled ? (Stalled = true) : false; }
+  bool isStalled() const { return Stalled; }
   Time requestedAt() const { return At; }
   bool becameOverdue(Duration o, Time now) {
     if (!isWaiting() || Overdue || now - At < o) return false;
     return Overdue = true;
   }
 private:
-  Time At, First; uint32_t Start = 0, Max = 0; bool Active = false, Overdue = false;
+  Time At, First; uint32_t Start = 0, Max = 0; bool Active = false, Overdue = false, Stalled = false;
 };
 class ResponseBaselines {
   struct B { std::array<float,64> Size{}, Took{}; uint32_t N = 0, NT = 0; float Low = -1e9f, Mid = 0; };
--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -100,8 +100,8 @@
   HealthChange onUnanswered(BackendIndex i, const Backends &servers, Time now);
   /// A request has waited for several times the usual time, and the server has
   /// answered nothing since.
-  void onStall(BackendIndex i, const Backends &servers, Time now);
-  HealthChange onReport(BackendIndex i, HealthChange change,
+  HealthChange onStall(BackendIndex i, const Backends &servers, Time now);
+  HealthChange onReport(BackendIndex i, InstanceId sender, HealthChange change,
                         const Backends &servers, Time now);
   void onRestart(BackendIndex i) { Outliers.forget(i); }
 
--- a/lib/token/Reachability.cpp
+++ b/lib/token/Reachability.cpp
@@ -339,11 +339,14 @@
     Request it = Requests.front();
     Requests.pop_front();
     FlowState *flow = flowOf(it.Flow);
-    if (!flow || !flow->RequestInProgress || flow->RequestSince != it.SentAt ||
-        Servers.at(flow->Backend).LastProgress >= it.SentAt)
+    if (!flow || !flow->RequestInProgress || flow->RequestSince != it.SentAt)
+      continue;
+    Time progress = Servers.at(flow->Backend).LastProgress;
+    // On a new flow, the request itself answers the handshake.
+    if (progress <= it.SentAt)
+      recordStall(*flow, now, actions);
+    if (progress >= it.SentAt)
       continue;
-    if (selectsByHealth())
-      Selector.onStall(flow->Backend, Servers, now);
     const Reachability &reach = Servers.at(flow->Backend).Probes;
     if (reach.Failures == 0 && isDistrusted(reach, now) &&
         !hadRecentFalseAlarm(now))
--- a/lib/token/ResponseTracking.cpp
+++ b/lib/token/ResponseTracking.cpp
@@ -57,7 +57,10 @@
     return;
   if (flow.Response.becameOverdue(route->Objective, now)) {
     ++Stats.OverdueRequests;
-    HealthChange change = Selector.onOverdue(flow.Backend, Servers, now);
+    // A stalled request was counted against the server before.
+    HealthChange change = HealthChange::None;
+    if (!flow.Response.isStalled())
+      change = Selector.onOverdue(flow.Backend, Servers, now);
     recordOutcome(flow.Backend, false, change, now, actions);
   }
   // The caller has given up. Until its flow is forgotten, its request would
@@ -67,6 +70,17 @@
     endRequest(flow);
 }
 
+/// Counts a request that waits for unusually long against its server. A server
+/// that resets the flow when the request arrives shows nothing else.
+void Core::recordStall(FlowState &flow, Time now, Actions &actions) {
+  if (!selectsByHealth() || !flow.Response.markStalled())
+    return;
+  ++Stats.StalledRequests;
+  HealthChange change = Selector.onStall(flow.Backend, Servers, now);
+  if (change != HealthChange::None)
+    announceHealth(flow.Backend, change, now, actions);
+}
+
 void Core::recordOutcome(BackendIndex i, bool good, HealthChange change,
                          Time now, Actions &actions) {
   const Registration &info = Servers.at(i).Info;
@@ -110,7 +124,7 @@
     return;
   }
   ++Stats.HealthReportsApplied;
-  Selector.onReport(i, event.Change, Servers, now);
+  Selector.onReport(i, event.Sender, event.Change, Servers, now);
 }
 
 /// Returns false if the flow must be refused because its service has no room
--- a/lib/token/ServerSelector.cpp
+++ b/lib/token/ServerSelector.cpp
@@ -144,6 +144,8 @@
     if (auto relative = Baselines.relativeTime(route, response.Took))
       Outliers.recordTime(i, info.Id, *relative);
   }
+  if (whole && response.WasStalled && !response.WasOverdue)
+    Outliers.withdrawStall(i, info.Id, now);
   // An overdue response was counted as a failure when it became overdue.
   if (!whole || !response.WasOverdue)
     out.Change = Outliers.record(i, info.Id, info.Service, whole, now);
@@ -163,14 +165,16 @@
   return Outliers.record(i, info.Id, info.Service, false, now);
 }
 
-void ServerSelector::onStall(BackendIndex i, const Backends &servers,
-                             Time now) {
-  Outliers.recordStall(i, servers.at(i).Info.Id, now);
+HealthChange ServerSelector::onStall(BackendIndex i, const Backends &servers,
+                                     Time now) {
+  const Registration &info = servers.at(i).Info;
+  return Outliers.recordStall(i, info.Id, info.Service, now);
 }
 
-HealthChange ServerSelector::onReport(BackendIndex i, HealthChange change,
+HealthChange ServerSelector::onReport(BackendIndex i, InstanceId sender,
+                                      HealthChange change,
                                       const Backends &servers, Time now) {
-  return Outliers.applyReport(i, servers.at(i).Info.Id, change, now);
+  return Outliers.applyReport(i, servers.at(i).Info.Id, sender, change, now);
 }
 
 std::vector<InstanceId> ServerSelector::sharers(BackendIndex i,
