--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -10,9 +10,9 @@
 //   JudgedResponse judged =
 //       selector.onResponse(server, route, response, servers, now);
 //
-// It combines the parts of docs/design/server-selection.md: subsets make the
-// evidence dense, outlier detection turns it into a judgement of each server,
-// and the expected completion decides among the rest.
+// It combines the parts that docs/HARD-LOAD.md describes: subsets give an
+// instance enough observations of each server, outlier detection judges the
+// servers by them, and the expected completion decides among the rest.
 
 #ifndef CHICORYBANK_TOKEN_SERVERSELECTOR_H
 #define CHICORYBANK_TOKEN_SERVERSELECTOR_H
--- a/tools/soaklib/ends.py
+++ b/tools/soaklib/ends.py
@@ -13,6 +13,14 @@
 FIRST_RETRY = 0.2
 LAST_RETRY = 1.6
 REQUEST_LIFE = 2.5
+# How a server answers a request that it fails; far shorter than a whole answer.
+ERROR = b"error"
+# Whole answers have at least this many bytes, so that their size tells them from errors.
+ANSWER_BYTES = 400
+
+
+def whole_answer(request):
+    return (b"answer to " + request).ljust(ANSWER_BYTES)
 
 
 class Checks:
@@ -41,6 +49,9 @@
         self.alive = True
         self.draining_since = None
         self.answers = {}
+        # How it fails a share of its requests: "errors", "resets" or "hangs".
+        self.fault, self.fault_share = None, 0.0
+        self.openings = 0
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -100,10 +111,11 @@
                 return self._send(packet, wire.RST, packet.ack, 0)
             flow["open"] = True
             self.world.flow_opens(key, self)
-        if packet.data:
+        if packet.data and not self._fails(packet, key):
             asyncio.ensure_future(self._run(packet, key))
 
     def _opened(self, packet, key):
+        self.openings += 1
         self.world.opening_arrived(self, key)
         self.flows.setdefault(key, {"open": False})["echo"] = packet.echo
         self._send(packet, wire.SYN | wire.ACK, self._sequence(), packet.seq + 1)
@@ -112,6 +124,19 @@
         """Its own first sequence number, by which a caller's answer shows whose the flow is."""
         return 1000 + self.ident % (1 << 30)
 
+    def _fails(self, packet, key):
+        """Fails a request without running it, as drawn for this request."""
+        if not self.fault or packet.data in self.answers or self.world.fault_draw.random() >= self.fault_share:
+            return False
+        self.world.checks.count(f"server {self.fault}")
+        if self.fault == "errors":
+            self._send(packet, wire.ACK, 2000, packet.seq + len(packet.data), ERROR)
+        elif self.fault == "resets":
+            self.flows.pop(key)
+            self.world.flow_ends(key)
+            self._send(packet, wire.RST, packet.ack, 0)
+        return True
+
     async def _run(self, packet, key):
         request = packet.data
         if request not in self.answers:
@@ -120,7 +145,7 @@
             if self.world.checks.runs[request] > 1 and request.startswith(b"once"):
                 self.world.checks.breaks("run twice", request.decode())
             await asyncio.sleep(self.work)
-            self.answers[request] = b"answer to " + request
+            self.answers[request] = whole_answer(request)
         if self.answers[request] and key in self.flows and self.alive:
             # A server that leaves closes each flow with its next answer.
             leaving = wire.FIN if self.draining_since else 0
@@ -218,7 +243,11 @@
             self.send(wire.ACK, name, seq)
             answer = await self._wait(min(wait, end - time.monotonic()))
             wait = min(wait * 2, LAST_RETRY)
-            while answer and answer != b"answer to " + name:
+            if answer == ERROR:
+                self.ack += len(answer)
+                self.send(wire.ACK)
+                return False
+            while answer and answer != whole_answer(name):
                 if not answer.startswith(b"answer to "):
                     self.world.checks.breaks("mixed", f"{name} got {answer}")
                 # A late copy of an earlier answer.
--- a/tools/soaklib/faults.py
+++ b/tools/soaklib/faults.py
@@ -194,6 +194,40 @@
         await restore_store(world, draw)
 
 
+async def fail_in_part(world, seconds):
+    """Servers fail a share of their requests while they say that they are well, beside everything else, with draws of
+    their own. Once they are well again, they must get new flows again."""
+    draw = world.fault_draw
+    end = time.monotonic() + seconds
+    failed = set()
+    while world.balances and time.monotonic() < end:
+        victim = draw.choice(world.living())
+        kind = draw.choice(("errors", "resets", "hangs"))
+        world.checks.count(f"fail_in_part {kind}")
+        # Requests that were lost to it may count as lost by planned work.
+        world.disturb(1)
+        victim.fault, victim.fault_share = kind, 0.6
+        await asyncio.sleep(draw.uniform(1, 3))
+        victim.fault = None
+        failed.add(victim)
+        await asyncio.sleep(draw.uniform(0.2, 2))
+    world.failed_in_part = failed
+
+
+async def press(world, seconds):
+    """Callers press: three times as many of them for a while, beside everything else."""
+    draw = world.fault_draw
+    end = time.monotonic() + seconds
+    while world.balances and time.monotonic() < end:
+        await asyncio.sleep(draw.uniform(1, 3))
+        world.checks.count("press")
+        world.pressing = True
+        crowd = [asyncio.ensure_future(world.press(n)) for n in range(16)]
+        await asyncio.sleep(draw.uniform(1, 3))
+        world.pressing = False
+        await asyncio.gather(*crowd)
+
+
 PLANNED = (stop_planned, reload, release, routes)
 FAULTS = (kill, pause, crash, store_trouble, store_slow, store_loses, store_forgets, connection, slow, peers)
 
@@ -202,7 +236,7 @@
     """Starts one thing after another; they overlap."""
     end = time.monotonic() + seconds
     kinds = PLANNED if world.planned_only else PLANNED + FAULTS + FAULTS
-    running = {asyncio.ensure_future(it(world, seconds)) for it in (drain_zones, restore_stores)}
+    running = {asyncio.ensure_future(it(world, seconds)) for it in (drain_zones, restore_stores, fail_in_part, press)}
     while time.monotonic() < end:
         kind = world.random.choice(kinds)
         world.checks.count(kind.__name__)
--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -33,6 +33,13 @@
 grace = "6s"
 """
 
+# Settings of the instances in runs in which servers fail in part and callers press.
+BALANCING = """[balancing]
+outlier_detection = true
+priority_admission = true
+overload_readiness = true
+"""
+
 
 # Below the ports that the system hands out: proxies of this run and of others listen there at the instances'
 # addresses, and one of them could take a port that an instance needs.
@@ -66,7 +73,8 @@
         port = await self.proxy.listen(self.ip)
         self.peers = await peers.PeerWay(self.ip, self.world.peer_port, self.world.random).listen()
         self.settings = self.world.folder / f"{self.name}.toml"
-        self.settings.write_text(SETTINGS.format(name=self.name, ip=self.ip, port=self.world.port, ready=self.world.ready_port, peers=self.world.peer_port, proxy=port))
+        text = SETTINGS.format(name=self.name, ip=self.ip, port=self.world.port, ready=self.world.ready_port, peers=self.world.peer_port, proxy=port)
+        self.settings.write_text(text + (BALANCING if self.world.balances else ""))
 
     async def start(self):
         with open(self.world.folder / f"{self.name}.log", "ab") as log:
@@ -121,7 +129,17 @@
     # One seed in four has a store that is restored from an older copy now and then.
     RESTORES_EVERY = 4
 
+    # One seed in two that has faults has servers that fail in part, and callers that press.
+    BALANCES_EVERY = 2
+
+    # A server that was ejected is on trial eight seconds later at the latest.
+    RETURN_SECONDS = 10.0
+
     def __init__(self, edge, folder, seed, instances):
+        self.balances = seed % self.BALANCES_EVERY == 0 and seed % 5 != 0
+        self.fault_draw = random.Random(seed + 1)
+        self.failed_in_part = set()
+        self.pressing = False
         self.restores = seed % self.RESTORES_EVERY == 0
         self.drains_zones = seed % self.DRAINS_EVERY == 1
         self.zones = ("a", "b") if self.drains_zones else ("a",)
@@ -287,6 +305,20 @@
             flow.close()
             await asyncio.sleep(self.random.uniform(0.02, 0.1))
 
+    async def press(self, number, service=SERVICES[0]):
+        """A caller that opens a flow for each request, one after the other."""
+        caller = await ends.Caller(self, f"127.2.2.{number + 1}").start()
+        route = next(it for it, to in self.routes.items() if to == service)
+        count = 0
+        while self.pressing and not self.stopping:
+            count += 1
+            flow = ends.Flow(caller, route)
+            if await flow.connect():
+                await flow.request(f"press {caller.ip} {flow.port} {count}".encode())
+            self.checks.count("pressed")
+            flow.close()
+        caller.transport.close()
+
     async def run(self, seconds, plan):
         server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
         self.store_port = server.sockets[0].getsockname()[1]
@@ -325,3 +357,18 @@
         served, lost = (sum(self.checks.counts.get(k, 0) - before.get(k, 0) for k in kinds) for kinds in (("served",), ("failed", "not opened")))
         if served < 20 or lost > served * 0.05:
             self.checks.breaks("recover", f"{served} served and {lost} lost in two seconds after all faults")
+        await self._returns()
+
+    async def _returns(self):
+        """A server that failed in part and is well again gets new flows."""
+        self.pressing = True
+        crowd = [asyncio.ensure_future(self.press(n, service)) for n, service in enumerate(SERVICES * 2)]
+        waiting = {it: it.openings for it in self.failed_in_part if it in self.living()}
+        end = time.monotonic() + self.RETURN_SECONDS
+        while waiting and time.monotonic() < end:
+            await asyncio.sleep(0.2)
+            waiting = {it: n for it, n in waiting.items() if it.openings == n and it in self.living()}
+        self.pressing = False
+        await asyncio.gather(*crowd)
+        for it in waiting:
+            self.checks.breaks("return", f"{it.key} got no new flow for {self.RETURN_SECONDS} s although it is well")
