Divide the servers of a zone into subsets by arcs of a ring

The placeholder sorted the lists at each refresh, compared floating-point arc ends, dropped members below 0.02, and asked about indices that `Backends` had given to other servers in the meantime.

Arcs are computed in whole units of 1/n server, so every server lies in exactly c arcs. A selection needs the ring's size and this instance's rank alone. A refresh without a change computes a fingerprint of the servers and nothing else. Members are checked by id and service before the caller's predicate sees them. An arc wider than 16 servers is looked at in parts, in turn: with few instances and 10,000 servers an arc has hundreds.

--- a/include/chicorybank/token/ServerSubsets.h
+++ b/include/chicorybank/token/ServerSubsets.h
@@ -1,57 +1,190 @@
+// Subsets of the servers of a service: each instance uses a small part of the
+// servers of its zone, so that it sees enough of each one to judge it.
+//
+//   ServerSubsets subsets(zone, self, {});
+//   subsets.setInstances(instances);
+//   subsets.refresh(service, servers, now);
+//   std::vector<SubsetMember> members;
+//   subsets.select(service, zone, isUsable, members);
+//
+// The servers of a zone form a ring, ordered by a hash of their ids, and so do
+// the instances. Instance k of n uses the arc of the servers' ring that starts
+// at k * m / n and is c * m / n of the m servers wide. So each server lies in
+// exactly c arcs, for any n and m, and no message is needed
+// (docs/design/server-subsets.md).
+
 #ifndef CHICORYBANK_TOKEN_SERVERSUBSETS_H
 #define CHICORYBANK_TOKEN_SERVERSUBSETS_H
-// STUB
-#include "chicorybank/base/Hash.h"
+
 #include "chicorybank/token/Backends.h"
+
 #include <algorithm>
-#include <cmath>
-#include <map>
+
 namespace chicory::token {
-struct SubsetMember { BackendIndex Server = NoBackend; double Weight = 1; };
-struct SubsetOptions { size_t MinServers = 6; };
+
+/// A server of a subset.
+struct SubsetMember {
+  BackendIndex Server = NoBackend;
+  /// The part of the server that this instance may use, in servers: 1 inside
+  /// the arc, less at its edges.
+  double Weight = 1;
+};
+
+struct SubsetOptions {
+  /// An arc is at least this wide, in servers. With fewer, a single failing
+  /// server is a large part of an instance's flows.
+  size_t MinServers = 6;
+  /// A selection looks at this many servers of the arc, and at three times as
+  /// many if some are rejected. An arc is wider if a service has many servers
+  /// for each instance; then the selections look at its parts in turn.
+  size_t MaxServers = 16;
+  /// Least time between two looks at all servers of a service.
+  Duration RefreshInterval = std::chrono::milliseconds(250);
+};
+
+/// Not thread-safe.
 class ServerSubsets {
-  struct S { Time At; std::map<std::string, std::vector<BackendIndex>> Rings; std::vector<std::string> Zones; uint32_t Slots = 0; };
-  std::string Own; InstanceId Self; SubsetOptions O; std::vector<ZonedInstance> Insts; std::map<uint32_t, S> Map; std::vector<std::string> NoZones;
-  struct Arc { size_t m = 0; double start = 0, width = 0; };
-  Arc arcOf(const std::string &zone, size_t m, InstanceId who, const std::string &whoZone) const {
-    bool own = zone == whoZone; size_t n = 0, me = SIZE_MAX;
-    for (auto &x : Insts) { if (own ? x.Zone != zone : x.Zone == zone) continue; if (x.Id == who) me = n; ++n; }
-    if (me == SIZE_MAX || m == 0) return {};
-    double c = std::clamp(std::ceil(double(O.MinServers) * n / m), 1.0, double(n));
-    return {m, double(me) * m / n, c * m / n};
-  }
 public:
-  ServerSubsets(std::string z, InstanceId s, SubsetOptions o) : Own(z), Self(s), O(o) {}
-  void setInstances(const std::vector<ZonedInstance> &in) { Insts = in; std::sort(Insts.begin(), Insts.end(), [](auto &a, auto &b) { return mixHash(0x51, a.Id.Value) < mixHash(0x51, b.Id.Value); }); }
-  void refresh(ServiceId service, const Backends &servers, Time now) {
-    S &s = Map[service.Value];
-    if (s.At != Time{} && now - s.At < std::chrono::milliseconds(250)) return;
-    s = {}; s.At = now;
-    for (BackendIndex i : servers.ofService(service)) { const Backend &b = servers.at(i); if (!b.mayAcceptNewFlows()) continue; if (b.Info.Zone == Own) s.Slots += b.Info.Slots; s.Rings[b.Info.Zone].push_back(i); }
-    for (auto &[z, r] : s.Rings) { s.Zones.push_back(z); std::sort(r.begin(), r.end(), [&](auto a, auto b) { return mixHash(0x77, servers.at(a).Info.Id.Value) < mixHash(0x77, servers.at(b).Info.Id.Value); }); }
-  }
-  template <typename U> void select(ServiceId service, const std::string &zone, U usable, std::vector<SubsetMember> &out) const {
-    auto it = Map.find(service.Value); if (it == Map.end()) return;
-    auto r = it->second.Rings.find(zone); if (r == it->second.Rings.end()) return;
-    Arc a = arcOf(zone, r->second.size(), Self, Own); if (!a.m) return;
-    double have = 0;
-    for (size_t step = 0; step < a.m && step <= 3 * a.width; ++step) {
-      if (have >= a.width - 1e-6) break;
-      double pos = std::floor(a.start) + double(step), w = std::min(pos + 1, a.start + a.width) - std::max(pos, a.start);
-      if (pos >= a.start + a.width) w = 1;
-      BackendIndex i = r->second[size_t(pos) % a.m];
-      if (w < 0.02 || !usable(i)) continue;
-      w = std::min(w, a.width - have); out.push_back({i, std::max(w, 0.02)}); have += w;
+  /// `zone` is the zone of this instance. Its arcs depend on the zone with
+  /// which it is listed, since the other instances know only that one.
+  ServerSubsets(std::string zone, InstanceId self, SubsetOptions options)
+      : OwnZone(std::move(zone)), Self(self), Options(options) {}
+
+  /// Sets the registered instances, including this one if it is registered.
+  /// O(n log n).
+  void setInstances(const std::vector<ZonedInstance> &instances);
+
+  /// Brings the list of the servers that may accept new flows up to date, at
+  /// most once in `RefreshInterval`. To be called before each selection.
+  /// `servers` must stay in place until the last `select` before the next call.
+  void refresh(ServiceId service, const Backends &servers, Time now);
+
+  /// Appends the servers of a zone that this instance uses, in their fixed
+  /// order: first its own subset with weights, then as many further servers as
+  /// `usable` rejects, which take over the weight of those. At most three times
+  /// the subset is looked at. Appends nothing if this instance is not listed or
+  /// the zone has no server.
+  ///
+  /// `usable` takes a `BackendIndex`. It may append to `out` itself.
+  template <typename Usable>
+  void select(ServiceId service, const std::string &zone, Usable usable,
+              std::vector<SubsetMember> &out) const;
+
+  /// Returns the instances of the server's zone, besides this one, whose arcs
+  /// hold the server. Empty if the server was not in the list at the last
+  /// refresh. O(log m + c).
+  std::vector<InstanceId> sharers(ServiceId service, BackendIndex server) const;
+
+  /// Returns the slots of the servers of this instance's zone.
+  uint32_t slotsInZone(ServiceId service) const;
+  /// Returns the zones in which the service has servers, in alphabetical order.
+  const std::vector<std::string> &zones(ServiceId service) const;
+
+private:
+  /// The instances of one zone.
+  struct InstanceRing {
+    std::vector<InstanceId> Ids;
+    /// How many of them come before this instance in the order of the hashes.
+    size_t BeforeSelf = 0;
+  };
+  /// A server of a ring. The id is kept because `Backends` reuses an index.
+  struct Member {
+    BackendIndex Server = NoBackend;
+    BackendId Id;
+  };
+  /// A part of `ServerList::Members`.
+  struct ServerRing {
+    size_t Begin = 0;
+    size_t Size = 0;
+  };
+  /// The servers of one service that may accept new flows.
+  struct ServerList {
+    Time RefreshedAt;
+    /// Fingerprint of what the list was built from.
+    uint64_t Source = 0;
+    /// Number of selections; it moves the part of a wide arc that is looked at.
+    uint64_t Turn = 0;
+    uint32_t OwnSlots = 0;
+    std::vector<std::string> Zones;
+    std::vector<ServerRing> Rings; // One for each of `Zones`.
+    std::vector<Member> Members;   // By ring, then by the hash of the id.
+    std::vector<uint32_t> ByIndex; // Positions in `Members`, by index.
+  };
+  /// The part of a ring that an instance uses. Lengths are in 1/n of a server,
+  /// so that the arcs of all instances fit together without rounding.
+  struct Arc {
+    uint64_t Unit = 0; // n: the length of one server.
+    uint64_t Start = 0;
+    uint64_t End = 0; // May lie beyond the ring's end.
+    size_t First = 0; // Position of the first server in the ring.
+    size_t Size = 0;  // Number of servers that the arc touches.
+  };
+
+  void rebuild(ServiceId service, ServerList &list,
+               const Backends &servers) const;
+  const ServerList *listOf(ServiceId service) const;
+  const ServerRing *ringOf(const ServerList &list,
+                           const std::string &zone) const;
+  /// Returns the number of arcs that hold each of `size` servers.
+  uint64_t arcsPerServer(uint64_t instances, uint64_t size) const;
+  /// Returns this instance's arc, with `Size` 0 if it has none.
+  Arc ownArc(const std::string &zone, size_t ringSize) const;
+  /// Returns the part of the arc's n-th server that the arc covers.
+  static double weightAt(const Arc &arc, size_t n, size_t ringSize);
+  bool isCurrent(const Member &it, ServiceId service) const;
+
+  std::string OwnZone;
+  InstanceId Self;
+  SubsetOptions Options;
+  std::map<std::string, InstanceRing> Instances;
+  size_t InstanceCount = 0;
+  size_t InstancesBeforeSelf = 0;
+  /// The zone with which this instance is listed; null if it isn't.
+  const InstanceRing *SelfRing = nullptr;
+  std::unordered_map<uint32_t, ServerList> Lists;
+  /// The servers of the last `refresh`.
+  const Backends *Servers = nullptr;
+};
+
+template <typename Usable>
+void ServerSubsets::select(ServiceId service, const std::string &zone,
+                           Usable usable,
+                           std::vector<SubsetMember> &out) const {
+  const ServerList *list = listOf(service);
+  const ServerRing *ring = list ? ringOf(*list, zone) : nullptr;
+  if (!ring)
+    return;
+  Arc arc = ownArc(zone, ring->Size);
+  size_t own = std::min(arc.Size, Options.MaxServers);
+  size_t end = std::min(ring->Size, 3 * own);
+  size_t shift = own < arc.Size ? list->Turn * own % arc.Size : 0;
+  size_t rejected = 0;
+  double rejectedWeight = 0;
+  double replacementWeight = 0;
+  for (size_t n = 0; n < end; ++n) {
+    if (n >= own && rejected == 0)
+      return;
+    if (n == own)
+      replacementWeight = rejectedWeight / static_cast<double>(rejected);
+    // Beyond the part of the arc that is looked at follows the rest of the arc,
+    // then the servers after it.
+    size_t step = n < arc.Size ? (n + shift) % arc.Size : n;
+    const Member &it =
+        list->Members[ring->Begin + (arc.First + step) % ring->Size];
+    bool accepted = isCurrent(it, service) && usable(it.Server);
+    double weight =
+        n < own ? weightAt(arc, step, ring->Size) : replacementWeight;
+    if (accepted)
+      out.push_back({.Server = it.Server, .Weight = weight});
+    if (n < own && !accepted) {
+      ++rejected;
+      rejectedWeight += weight;
+    } else if (n >= own && accepted) {
+      --rejected;
     }
   }
-  std::vector<InstanceId> sharers(ServiceId service, BackendIndex server) const {
-    std::vector<InstanceId> out; auto it = Map.find(service.Value); if (it == Map.end()) return out;
-    for (auto &[z, r] : it->second.Rings) for (size_t p = 0; p < r.size(); ++p) if (r[p] == server)
-      for (auto &x : Insts) { if (x.Id == Self || x.Zone != z) continue; Arc a = arcOf(z, r.size(), x.Id, x.Zone); double off = double(p) - std::floor(a.start); if (off < 0) off += double(a.m); if (std::floor(a.start) + off < a.start + a.width) out.push_back(x.Id); }
-    return out;
-  }
-  uint32_t slotsInZone(ServiceId s) const { auto it = Map.find(s.Value); return it == Map.end() ? 0 : it->second.Slots; }
-  const std::vector<std::string> &zones(ServiceId s) const { auto it = Map.find(s.Value); return it == Map.end() ? NoZones : it->second.Zones; }
-};
 }
+
+} // namespace chicory::token
+
 #endif
