--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -217,6 +217,7 @@
   }
   void onFlowOpened(BackendIndex i, Time now);
   void updatePriorities(const RouteSet &routes);
+  void logShortage(Time now, Actions &actions);
 
   void trackResponse(const FlowPacket &head, FlowState &flow, Time now,
                      Actions &actions);
@@ -341,6 +342,13 @@
   ServerSelector Selector;
   Selection LastSelection;
   PriorityAdmission Admission;
+  /// The priorities of the routes that lead to each service.
+  std::map<ServiceId, std::vector<uint32_t>> Priorities;
+  /// Admitted shares as they were last logged, below 1 only.
+  std::map<std::pair<ServiceId, uint32_t>, double> LoggedShares;
+  Time SharesLoggedAt;
+  /// A choice has begun to ignore the health of servers; not logged yet.
+  bool PanicStarted = false;
   FlowTracker Flows;
   std::deque<Opening> Openings;
   std::deque<Request> Requests;
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -154,6 +154,13 @@
   std::vector<InstanceId> To;
 };
 
+/// The share of a service's new flows of one priority that are admitted.
+struct AdmittedShare {
+  ServiceId Service;
+  uint32_t Priority = 0;
+  double Share = 1;
+};
+
 /// A decision to write to the log.
 struct Decision {
   /// Name of the log event, one word; a string literal.
@@ -174,6 +181,8 @@
   /// For `backend_gone` and `backend_contested`, the conflict with another
   /// server's registration.
   std::optional<AddressConflict> Conflict;
+  /// For `service_overloaded`.
+  std::optional<AdmittedShare> Admitted;
 };
 
 using Action = std::variant<Forward, ResetFlow, ProbeBackend, ReportUnreachable,
--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -36,6 +36,9 @@
   /// considered only if the best server of the own zone has this many requests
   /// of this instance in progress, and then its servers cost as much more.
   uint32_t SpillAtLoad = 2;
+  /// How long the health of a service's servers counts as ignored after a
+  /// choice that ignored it. Longer than the time between two choices.
+  Duration PanicFor = std::chrono::seconds(1);
   /// A server that gave a whole response within this time has room.
   Duration RoomKnownFor = std::chrono::milliseconds(200);
 };
@@ -109,6 +112,11 @@
   std::vector<InstanceId> sharers(BackendIndex i,
                                   const Backends &servers) const;
   const OutlierDetector &outliers() const { return Outliers; }
+  /// Returns true while most candidates of the service look unhealthy, so that
+  /// their health is ignored.
+  bool isPanicking(ServiceId service, Time now) const;
+  /// Returns true if the server gets new flows as usual, be it healthy or not.
+  bool isInUse(BackendIndex i, const Backends &servers, Time now) const;
 
 private:
   struct Sighting {
@@ -136,6 +144,8 @@
   ResponseBaselines Baselines;
   RecentOpenings Recent;
   std::vector<Sighting> Sightings;
+  /// When a choice last ignored the health of the servers, by service.
+  std::unordered_map<uint32_t, Time> PanicAt;
 };
 
 } // namespace chicory::token
--- a/lib/edge/Log.cpp
+++ b/lib/edge/Log.cpp
@@ -1,6 +1,7 @@
 #include "Log.h"
 
 #include <chrono>
+#include <cmath>
 #include <unistd.h>
 #include <utility>
 
@@ -79,6 +80,11 @@
   out.with("ago_ms", duration_cast<milliseconds>(now - decision.At).count());
   if (*decision.Cause != '\0')
     out.with("cause", decision.Cause);
+  constexpr double Percent = 100;
+  if (const auto &it = decision.Admitted)
+    out.with("service", static_cast<int64_t>(it->Service.Value))
+        .with("priority", static_cast<int64_t>(it->Priority))
+        .with("admitted_percent", std::lround(it->Share * Percent));
   if (const auto &it = decision.Conflict)
     out.with("address", formatAddress(it->Where))
         .with("order", orderText(it->Order))
--- a/lib/token/BackendSelection.cpp
+++ b/lib/token/BackendSelection.cpp
@@ -81,6 +81,7 @@
     return accepts && WarmUps.mayOpen(backend, now) && i != avoid &&
            !isAvoided(backend, now) && !Servers.sharesToken(i);
   };
+  bool wasPanicking = Selector.isPanicking(service, now);
   LastSelection = Selector.select({.Service = service,
                                    .Idempotent = idempotent,
                                    .OwnZoneFirst = prefersOwnZone(service)},
@@ -90,6 +91,7 @@
   Stats.SubsetChoices += LastSelection.Source == SelectionSource::Subset;
   Stats.OtherZoneChoices += LastSelection.Source == SelectionSource::OtherZone;
   Stats.PanicChoices += LastSelection.Panic;
+  PanicStarted |= LastSelection.Panic && !wasPanicking;
   return LastSelection.Server;
 }
 
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -303,6 +303,8 @@
   LastSweep = now;
   expireServers(canTrustMissing(now), now, actions);
   sweep(now, actions);
+  if (selectsByHealth())
+    logShortage(now, actions);
 }
 
 /// Resets the flows of earlier processes of restarted servers. A restarted
--- a/lib/token/ResponseTracking.cpp
+++ b/lib/token/ResponseTracking.cpp
@@ -3,8 +3,7 @@
 
 #include "chicorybank/token/Core.h"
 
-#include <algorithm>
-#include <map>
+#include <utility>
 
 namespace chicory::token {
 
@@ -13,6 +12,8 @@
 // A response on a flow that stays open is complete once the caller has
 // acknowledged nothing for this long. Longer than a retransmission.
 constexpr Duration ResponseIdleTime = std::chrono::milliseconds(300);
+// The shares change up to five times a second.
+constexpr Duration ShareLogInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -84,7 +85,7 @@
 void Core::recordOutcome(BackendIndex i, bool good, HealthChange change,
                          Time now, Actions &actions) {
   const Registration &info = Servers.at(i).Info;
-  if (Selector.outliers().use(i, info.Id, now) == ServerUse::Normal)
+  if (Selector.isInUse(i, Servers, now))
     Admission.recordOutcome(info.Service, good, now);
   if (change != HealthChange::None)
     announceHealth(i, change, now, actions);
@@ -142,12 +143,41 @@
 
 /// Collects the priorities of the routes that lead to each service.
 void Core::updatePriorities(const RouteSet &routes) {
-  std::map<ServiceId, std::vector<uint32_t>> priorities;
+  std::map<ServiceId, std::vector<uint32_t>> former;
+  former.swap(Priorities);
   for (const Route &route : routes.Routes)
     for (const WeightedService &it : route.Services)
-      priorities[it.Service].push_back(route.Priority);
-  for (auto &[service, list] : priorities)
-    Admission.setPriorities(service, std::move(list));
+      Priorities[it.Service].push_back(route.Priority);
+  for (const auto &[service, list] : Priorities)
+    Admission.setPriorities(service, list);
+  for (const auto &[service, list] : former)
+    if (!Priorities.contains(service))
+      Admission.setPriorities(service, {});
+}
+
+/// Logs that the health of servers is ignored, and the admitted shares if they
+/// have changed.
+void Core::logShortage(Time now, Actions &actions) {
+  if (std::exchange(PanicStarted, false))
+    addDecision({.What = "evidence_ignored", .Zone = Options.Zone}, now,
+                actions);
+  if (now - SharesLoggedAt < ShareLogInterval)
+    return;
+  for (const auto &[service, list] : Priorities)
+    for (uint32_t priority : list) {
+      double share = Admission.admittedShare(service, priority);
+      auto it = LoggedShares.try_emplace({service, priority}, 1).first;
+      if (it->second == share)
+        continue;
+      it->second = share;
+      SharesLoggedAt = now;
+      addDecision({.What = "service_overloaded",
+                   .Why = Reason::ServiceOverloaded,
+                   .Admitted = AdmittedShare{.Service = service,
+                                             .Priority = priority,
+                                             .Share = share}},
+                  now, actions);
+    }
 }
 
 } // namespace chicory::token
--- a/lib/token/ServerSelector.cpp
+++ b/lib/token/ServerSelector.cpp
@@ -94,6 +94,8 @@
   std::vector<SubsetMember> members;
   Ranking ranking;
   out.Panic = collect(request, Zone, servers, eligible, now, members);
+  if (out.Panic)
+    PanicAt[request.Service.Value] = now;
   for (const SubsetMember &it : members)
     out.LoadHere += servers.at(it.Server).load();
   rank(members, request, servers, 0, now, out, ranking);
@@ -118,6 +120,18 @@
   return out;
 }
 
+bool ServerSelector::isPanicking(ServiceId service, Time now) const {
+  auto it = PanicAt.find(service.Value);
+  return it != PanicAt.end() && now - it->second < Options.PanicFor;
+}
+
+bool ServerSelector::isInUse(BackendIndex i, const Backends &servers,
+                             Time now) const {
+  const Registration &info = servers.at(i).Info;
+  return Outliers.use(i, info.Id, now) == ServerUse::Normal ||
+         isPanicking(info.Service, now);
+}
+
 void ServerSelector::onFlowOpened(BackendIndex i, const Backends &servers,
                                   Time now) {
   BackendId id = servers.at(i).Info.Id;
