Fail readiness probes while the packet socket stays full

Routers give slow instances the same share of packets as the others, and an instance that could not keep up reported that it was ready.

A socket that was not empty for 300 ms makes readiness probes fail for 3 s, and then not again for 3 s. An empty socket ends this only in the first 500 ms: later the routers may have removed the instance, which is idle then. Only with `overload_readiness` in both sections of the settings.

The changes of the two threads were compiled; no run of chicory-edge has exercised them.

--- a/lib/edge/ControlWorker.cpp
+++ b/lib/edge/ControlWorker.cpp
@@ -45,7 +45,7 @@
 }
 
 HttpResponse ControlWorker::answerReady() const {
-  bool ready = State.ReadyToServe && !Stopping;
+  bool ready = State.ReadyToServe && !Stopping && !State.Overloaded;
   return {.Status = ready ? HttpOk : HttpUnavailable,
           .ContentType = "text/plain"};
 }
@@ -67,6 +67,7 @@
     checkSuspension(before + wait, bootTimeNow());
     now = steadyNow();
     logDecisions();
+    logOverload();
     if (now >= IdleCheckAt) {
       IdleCheckAt = now + LogInterval;
       Ready.closeIdleConnections(now);
@@ -170,4 +171,15 @@
     Logger.write(decisionLine(decision, steadyNow()));
 }
 
+/// Logs that readiness probes fail or succeed again because of overload.
+void ControlWorker::logOverload() {
+  bool overloaded = State.Overloaded;
+  if (overloaded == LoggedOverload)
+    return;
+  LoggedOverload = overloaded;
+  Logger.write(LogLine("instance_overloaded")
+                   .with("state", overloaded ? "on" : "off")
+                   .with("not_empty_ms", State.BacklogMs));
+}
+
 } // namespace chicory::edge
--- a/lib/edge/ControlWorker.h
+++ b/lib/edge/ControlWorker.h
@@ -32,6 +32,7 @@
 
 private:
   void logDecisions();
+  void logOverload();
   HttpResponse answerPeer(const std::string &target);
   HttpResponse answerReady() const;
   Time nextWakeup(Time now) const;
@@ -54,6 +55,8 @@
   Time StatusAt;
   Time StopAt = Time::max();
   bool Stopping = false;
+  /// The state of `SharedState::Overloaded` that was logged last.
+  bool LoggedOverload = false;
 };
 
 } // namespace chicory::edge
--- a/lib/edge/PacketWorker.cpp
+++ b/lib/edge/PacketWorker.cpp
@@ -59,7 +59,10 @@
                            FileDescriptor packets, SharedState &shared)
     : Format(framing), State(shared), Packets(std::move(packets)),
       Core(settings.Core), Batch(Packets.get()), Probes(Events, settings.Ip),
-      Suspension(MaxIteration), HoldPackets(settings.Core.Enabled.HoldAtStart) {
+      Suspension(MaxIteration), Overload({}),
+      ReportsOverload(settings.Core.Balancing.OverloadReadiness &&
+                      settings.Core.Enabled.OverloadReadiness),
+      HoldPackets(settings.Core.Enabled.HoldAtStart) {
   State.PacketWakeup.attach(Events);
 }
 
@@ -89,6 +92,7 @@
     applyUpdates(now);
     startReading(now);
     applyProbeResults(now);
+    reportOverload(now);
     if (now >= Core.nextTick(now) || now >= PublishAt)
       tick(now);
   }
@@ -124,8 +128,10 @@
     }
     handle(token::PacketReceived{.Head = *head, .Raw = raw}, now);
   }
-  if (count < static_cast<int>(SendBatch::Size))
+  bool drained = count < static_cast<int>(SendBatch::Size);
+  if (drained)
     OpeningsMayBeStale = false;
+  Overload.recordRead(drained, now);
   Batch.flush();
   Stats.BatchTime.add(steadyNow() - now);
 }
@@ -180,6 +186,19 @@
     publish(now);
 }
 
+/// Updates the state that readiness probes depend on. Also called without a
+/// read, because an instance out of rotation gets no packets.
+void PacketWorker::reportOverload(Time now) {
+  bool overloaded = ReportsOverload && Overload.isOverloaded(now);
+  if (overloaded == State.Overloaded)
+    return;
+  State.BacklogMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Overload.longestBacklog())
+                        .count();
+  State.Overloaded = overloaded;
+  State.ControlWakeup.wake();
+}
+
 void PacketWorker::publish(Time now) {
   PublishAt = now + PublishInterval;
   Stats.Core = Core.stats();
--- a/lib/edge/PacketWorker.h
+++ b/lib/edge/PacketWorker.h
@@ -9,6 +9,7 @@
 #include "SuspensionDetector.h"
 
 #include "chicorybank/edge/Framing.h"
+#include "chicorybank/edge/OverloadDetector.h"
 #include "chicorybank/edge/Settings.h"
 
 #include <array>
@@ -56,6 +57,7 @@
   void applyProbeResults(Time now);
   void handle(const token::Event &event, Time now);
   void executeActions();
+  void reportOverload(Time now);
   void publish(Time now);
 
   const Framing &Format;
@@ -74,6 +76,9 @@
   Time HoldUntil;
   bool Reading = false;
   SuspensionDetector Suspension;
+  OverloadDetector Overload;
+  /// Whether readiness probes depend on `Overload`.
+  bool ReportsOverload;
   /// Whether packets wait for the first registry updates.
   bool HoldPackets;
   /// Openings in the socket may be from before a suspension.
--- a/lib/edge/SharedState.h
+++ b/lib/edge/SharedState.h
@@ -48,6 +48,12 @@
 
   /// Routes and backend servers are known, so readiness probes succeed.
   std::atomic<bool> ReadyToServe = false;
+  /// From the packet thread: it can't keep up with its packets, so readiness
+  /// probes fail (OverloadDetector.h).
+  std::atomic<bool> Overloaded = false;
+  /// For how long the packet socket was not empty, in milliseconds, when
+  /// `Overloaded` last changed.
+  std::atomic<int64_t> BacklogMs = 0;
   std::atomic<bool> Stopped = false;
 
   /// Returns the packet thread's statistics as of its last `publish`.
