--- a/lib/token/ResponseTracking.cpp
+++ b/lib/token/ResponseTracking.cpp
@@ -24,9 +24,12 @@
                          Actions &actions) {
   if (!selectsByHealth() || !flow.SeenFromOpening)
     return;
-  if (head.DataBytes == 0)
-    return flow.Response.onAcknowledged(head.Acknowledged, now);
-  if (flow.RequestInProgress)
+  bool isRepeated = flow.RequestInProgress &&
+                    head.Acknowledged == flow.LastAcknowledged;
+  // The next request may be the first packet that acknowledges the response.
+  if (head.DataBytes == 0 || !isRepeated)
+    flow.Response.onAcknowledged(head.Acknowledged, now);
+  if (head.DataBytes == 0 || isRepeated)
     return;
   finishResponse(head.key(), flow, now, actions);
   flow.Response.onRequest(head.Acknowledged, now);
@@ -64,10 +67,12 @@
       change = Selector.onOverdue(flow.Backend, Servers, now);
     recordOutcome(flow.Backend, false, change, now, actions);
   }
+  if (now - flow.Response.requestedAt() <= route->Timeout)
+    return;
   // The caller has given up. Until its flow is forgotten, its request would
   // count as load of the server.
-  if (flow.RequestInProgress &&
-      now - flow.Response.requestedAt() > route->Timeout)
+  flow.Response.finish(now);
+  if (flow.RequestInProgress)
     endRequest(flow);
 }
 
