Send reports of servers' health to the instances that share them

An instance that ejects or restores a server decided on a report, but nothing carried it. It is now one datagram of about 30 bytes to each sharer (kind 4, which pages, read over TCP only, had in the same list; theirs is numbered apart). The receiver accepts 256 in any two seconds and wakes the packet thread for each. Metrics show what the core counts of responses, ejections, choices and reports, and why reports were dropped; status lines show the main ones.

Measured: PeerMessagesTest, HealthReportLimiterTest and EdgeTest pass. In EdgeTest, the report of one instance's control thread reaches the packet thread of a running instance, and a flood of 1,024 reports is limited.

--- a/include/chicorybank/edge/PeerMessages.h
+++ b/include/chicorybank/edge/PeerMessages.h
@@ -50,7 +50,20 @@
   token::BackendId Backend;
 };
 
-using PeerMessage = std::variant<UpdatePush, Fragment, UnreachableReport>;
+/// Reports to the instances that share a backend server that the sender has
+/// ejected or restored it.
+struct HealthReport {
+  InstanceId Sender;
+  token::BackendId Backend;
+  /// `Registration::StartedAtMs` of the server as the sender knows it; 0 if
+  /// unknown.
+  int64_t StartedAtMs = 0;
+  /// `Ejected` or `Restored`.
+  token::HealthChange Change = token::HealthChange::None;
+};
+
+using PeerMessage =
+    std::variant<UpdatePush, Fragment, UnreachableReport, HealthReport>;
 
 /// A message of up to this size is not fragmented by IP at an MTU of 1280 bytes
 /// or more.
@@ -89,6 +102,8 @@
 tl::expected<ItemPage, Reason> decodePage(std::span<const char> bytes);
 
 std::string encodeUnreachableReport(const UnreachableReport &report);
+std::string encodeHealthReport(const HealthReport &report);
+/// Decodes a datagram; `BadPeerMessage` or `BadVersion` if it is not valid.
 tl::expected<PeerMessage, Reason> decodeDatagram(std::span<const char> bytes);
 
 } // namespace chicory::edge
--- a/lib/edge/ControlWorker.cpp
+++ b/lib/edge/ControlWorker.cpp
@@ -116,6 +116,12 @@
           .with("flows", static_cast<int64_t>(stats.Flows))
           .with("packets", static_cast<int64_t>(stats.Core.Packets))
           .with("opened", static_cast<int64_t>(stats.Core.Opened))
+          .with("ejections", static_cast<int64_t>(stats.Core.Ejections))
+          .with("restores", static_cast<int64_t>(stats.Core.Restores))
+          .with("short_responses",
+                static_cast<int64_t>(stats.Core.ShortResponses))
+          .with("overdue_requests",
+                static_cast<int64_t>(stats.Core.OverdueRequests))
           .with("registry_calls", calls.text())
           .with("registry_failures", static_cast<int64_t>(watcher.Failures))
           .with("pushes", static_cast<int64_t>(watcher.Pushes))
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -114,6 +114,65 @@
          peers.UnreachableReports);
 }
 
+/// Counters with the same name and different values of one label.
+using LabelledCounts = std::initializer_list<std::pair<const char *, uint64_t>>;
+
+void byLabel(std::ostringstream &out, const char *name, const char *help,
+             const char *label, LabelledCounts counts) {
+  header(out, name, "counter", help);
+  for (const auto &[value, count] : counts)
+    out << name << '{' << label << "=\"" << value << "\"} " << count << '\n';
+}
+
+void healthMetrics(std::ostringstream &out, const EdgeStats &edge,
+                   const PeerMessageStats &peers) {
+  const token::CoreStats &core = edge.Core;
+  byLabel(out, "chicory_responses_total",
+          "Responses and requests without one, as far as they were judged by "
+          "callers' packets, by kind",
+          "kind",
+          {{"whole", core.WholeResponses},
+           {"short", core.ShortResponses},
+           {"stalled", core.StalledRequests},
+           {"overdue", core.OverdueRequests}});
+  scalar(out, "chicory_ejections_total", "counter",
+         "Backend servers that got no new flows because they failed requests",
+         core.Ejections);
+  scalar(out, "chicory_restores_total", "counter",
+         "Ejected backend servers that got new flows again", core.Restores);
+  byLabel(out, "chicory_server_choices_total",
+          "New flows, by where their backend server was found", "from",
+          {{"subset", core.SubsetChoices},
+           {"other_zone", core.OtherZoneChoices},
+           {"scan", core.FullScans}});
+  scalar(out, "chicory_panic_choices_total", "counter",
+         "New flows whose choice ignored the health of backend servers, since "
+         "most of them looked unhealthy",
+         core.PanicChoices);
+  scalar(out, "chicory_health_reports_decided_total", "counter",
+         "Reports of a backend server's health to other instances that were "
+         "decided on, counted once for each receiver",
+         core.HealthReportsSent);
+  scalar(out, "chicory_health_reports_sent_total", "counter",
+         "Datagrams with a report of a backend server's health, including "
+         "failed attempts",
+         peers.HealthReportsSent);
+  scalar(out, "chicory_health_reports_received_total", "counter",
+         "Valid reports from other instances of a backend server's health",
+         peers.HealthReportsReceived);
+  scalar(out, "chicory_health_reports_applied_total", "counter",
+         "Received reports of a backend server's health that were applied",
+         core.HealthReportsApplied);
+  byLabel(out, "chicory_health_reports_dropped_total",
+          "Reports of a backend server's health that were not sent "
+          "(queue_full) or not applied (over_limit; not_applicable: unknown "
+          "server, start or sender, or switched off), by reason",
+          "reason",
+          {{"queue_full", edge.HealthReportsDropped},
+           {"over_limit", peers.HealthReportsOverLimit},
+           {"not_applicable", core.HealthReportsIgnored}});
+}
+
 } // namespace
 
 std::string renderEdgeMetrics(const EdgeStats &edge,
@@ -174,6 +233,7 @@
   registryMetrics(out, watcher, calls);
   routeHistoryMetrics(out, routeHistory);
   peerMetrics(out, watcher, peers);
+  healthMetrics(out, edge, peers);
   scalar(out, "chicory_flows", "gauge", "Tracked flows", edge.Flows);
   scalar(out, "chicory_servers", "gauge", "Running backend servers",
          edge.Servers);
--- a/lib/edge/PacketWorker.cpp
+++ b/lib/edge/PacketWorker.cpp
@@ -149,6 +149,11 @@
                    std::get_if<token::ReportUnreachable>(&it)) {
       if (State.UnreachableBackends.try_enqueue(unreachable->Id))
         State.ControlWakeup.wake();
+    } else if (const auto *health = std::get_if<token::ReportHealth>(&it)) {
+      if (State.HealthReports.try_enqueue(*health))
+        State.ControlWakeup.wake();
+      else
+        Stats.HealthReportsDropped += health->To.size();
     } else if (const auto *decision = std::get_if<token::Decision>(&it)) {
       if (!State.Decisions.try_enqueue(*decision))
         ++Stats.LogsDropped;
--- a/lib/edge/PeerMessages.cpp
+++ b/lib/edge/PeerMessages.cpp
@@ -11,12 +11,20 @@
 namespace {
 
 constexpr uint64_t FormatVersion = 3;
+/// Kinds of datagrams.
 enum class Kind : uint8_t {
   Push = 1,
   Fragment = 2,
   UnreachableReport = 3,
-  Page = 4
+  HealthReport = 4
 };
+/// The kind of a page. Pages are compressed and read over TCP, so their kind is
+/// numbered separately from those of datagrams.
+constexpr uint64_t PageKind = 4;
+
+// `HealthReport` encodes these values.
+static_assert(static_cast<uint64_t>(token::HealthChange::Ejected) == 1);
+static_assert(static_cast<uint64_t>(token::HealthChange::Restored) == 2);
 
 /// Decodes a message's format version and kind. `read` decodes the rest of the
 /// outer array, which depends on the kind.
@@ -33,15 +41,17 @@
   return InstanceId{static_cast<uint32_t>(id)};
 }
 
-int64_t readRevision(Unpacker &in) {
+/// Reads a number that is not negative and fits into 63 bits.
+int64_t readNonNegative(Unpacker &in) {
   uint64_t n = in.number();
   in.require(n <= INT64_MAX);
   return static_cast<int64_t>(n);
 }
 
 Position readPosition(Unpacker &in) {
-  auto generation = static_cast<uint64_t>(readRevision(in));
-  return {.Generation = Generation{generation}, .Revision = readRevision(in)};
+  auto generation = static_cast<uint64_t>(readNonNegative(in));
+  return {.Generation = Generation{generation},
+          .Revision = readNonNegative(in)};
 }
 
 void pack(Packer &out, Position position) {
@@ -86,9 +96,10 @@
   std::vector<Item> out;
   for (const msgpack_object &it : in.list()) {
     Unpacker item(it);
-    Item read{.Key = item.text(),
-              .At = {.Generation = generation, .Revision = readRevision(item)},
-              .Created = readRevision(item)};
+    Item read{
+        .Key = item.text(),
+        .At = {.Generation = generation, .Revision = readNonNegative(item)},
+        .Created = readNonNegative(item)};
     read.Deleted = item.flag();
     read.Value = item.text();
     in.require(item.done());
@@ -123,6 +134,18 @@
   return out;
 }
 
+HealthReport readHealthReport(Unpacker &in) {
+  HealthReport out{.Sender = readInstance(in),
+                   .Backend = token::BackendId{in.number()},
+                   .StartedAtMs = readNonNegative(in)};
+  uint64_t change = in.number();
+  for (auto it : {token::HealthChange::Ejected, token::HealthChange::Restored})
+    if (change == static_cast<uint64_t>(it))
+      out.Change = it;
+  in.require(out.Change != token::HealthChange::None);
+  return out;
+}
+
 } // namespace
 
 std::string encodePush(const UpdatePush &push, size_t maxBytes) {
@@ -170,7 +193,7 @@
 
 std::string encodePage(const ItemPage &page) {
   Packer out;
-  out.list(5).number(FormatVersion).number(static_cast<uint64_t>(Kind::Page));
+  out.list(5).number(FormatVersion).number(PageKind);
   pack(out, page.At);
   pack(out, page.Items);
   return compress(out.take());
@@ -178,7 +201,7 @@
 
 tl::expected<ItemPage, Reason> decodePage(std::span<const char> bytes) {
   auto read = [](Unpacker &in, uint64_t kind) {
-    in.require(kind == static_cast<uint64_t>(Kind::Page));
+    in.require(kind == PageKind);
     ItemPage out{.At = readPosition(in)};
     out.Items = readItems(in, out.At.Generation);
     return out;
@@ -197,6 +220,17 @@
   return out.take();
 }
 
+std::string encodeHealthReport(const HealthReport &report) {
+  Packer out;
+  out.list(6)
+      .number(FormatVersion)
+      .number(static_cast<uint64_t>(Kind::HealthReport));
+  out.number(report.Sender.Value).number(report.Backend.Value);
+  out.number(static_cast<uint64_t>(std::max<int64_t>(report.StartedAtMs, 0)));
+  out.number(static_cast<uint64_t>(report.Change));
+  return out.take();
+}
+
 tl::expected<PeerMessage, Reason> decodeDatagram(std::span<const char> bytes) {
   return decode<PeerMessage>(bytes, [](Unpacker &in, uint64_t kind) {
     if (kind == static_cast<uint64_t>(Kind::Fragment))
@@ -205,6 +239,8 @@
       return PeerMessage(
           UnreachableReport{.Sender = readInstance(in),
                             .Backend = token::BackendId{in.number()}});
+    if (kind == static_cast<uint64_t>(Kind::HealthReport))
+      return PeerMessage(readHealthReport(in));
     in.require(kind == static_cast<uint64_t>(Kind::Push));
     return PeerMessage(readPush(in));
   });
--- a/lib/edge/RegistrySync.cpp
+++ b/lib/edge/RegistrySync.cpp
@@ -50,6 +50,7 @@
   Pages.expire(now);
   forwardPending();
   shareUnreachableBackends(now);
+  sendHealthReports();
   updateRouteHistory(now);
   Watcher.observeGeneration(Writer.takeNewGeneration(), now);
   if (Watcher.latestGeneration())
@@ -253,6 +254,8 @@
       handlePush(*push, now);
     else if (auto *report = std::get_if<UnreachableReport>(&*message))
       handleUnreachableReport(*report, now);
+    else if (auto *health = std::get_if<HealthReport>(&*message))
+      handleHealthReport(*health, now);
     else
       handleFragment(std::move(std::get<Fragment>(*message)), now);
   }
@@ -296,6 +299,37 @@
     send(bytes, it);
 }
 
+/// Sends the packet thread's health reports, one datagram to each receiver. A
+/// lost datagram is not repeated: its receiver detects the failure by itself.
+void RegistrySync::sendHealthReports() {
+  token::ReportHealth report;
+  while (State.HealthReports.try_dequeue(report)) {
+    std::string bytes = encodeHealthReport({.Sender = InstanceId{Settings.Ip},
+                                            .Backend = report.Id,
+                                            .StartedAtMs = report.StartedAtMs,
+                                            .Change = report.Change});
+    for (InstanceId it : report.To)
+      send(bytes, addressOf(it));
+    Traffic.HealthReportsSent += report.To.size();
+  }
+}
+
+/// Passes a received health report to the packet thread, which checks the
+/// sender and the server.
+void RegistrySync::handleHealthReport(const HealthReport &report, Time now) {
+  ++Traffic.HealthReportsReceived;
+  if (!HealthLimiter.accept(now)) {
+    ++Traffic.HealthReportsOverLimit;
+    return;
+  }
+  Pending.emplace_back(
+      token::BackendHealthReported{.Sender = report.Sender,
+                                   .Id = report.Backend,
+                                   .StartedAtMs = report.StartedAtMs,
+                                   .Change = report.Change});
+  forwardPending();
+}
+
 void RegistrySync::handlePush(const UpdatePush &push, Time now) {
   if (Watcher.needsSeed(push))
     return pullSeed(push.Sender);
--- a/lib/edge/RegistrySync.h
+++ b/lib/edge/RegistrySync.h
@@ -12,6 +12,7 @@
 #include "SharedState.h"
 
 #include "chicorybank/edge/FragmentAssembler.h"
+#include "chicorybank/edge/HealthReportLimiter.h"
 #include "chicorybank/edge/OutageGossip.h"
 #include "chicorybank/edge/PropagationTree.h"
 #include "chicorybank/edge/Settings.h"
@@ -21,13 +22,17 @@
 
 namespace chicory::edge {
 
-/// Counters of the datagrams between instances: `Messages` and `Bytes` of sent
-/// ones, `Malformed` and `UnreachableReports` of received ones.
+/// Counters of the datagrams between instances: `Messages`, `Bytes` and
+/// `HealthReportsSent` of sent ones, the others of received ones.
 struct PeerMessageStats {
   uint64_t Messages = 0;
   uint64_t Bytes = 0;
   uint64_t Malformed = 0;
   uint64_t UnreachableReports = 0;
+  uint64_t HealthReportsSent = 0;
+  uint64_t HealthReportsReceived = 0;
+  /// Received reports that `HealthReportLimiter` dropped.
+  uint64_t HealthReportsOverLimit = 0;
 };
 
 /// Runs in the control thread's event loop.
@@ -73,6 +78,8 @@
   void handleUnreachableReport(const UnreachableReport &report, Time now);
   void shareUnreachableBackends(Time now);
   void sendUnreachableReport(token::BackendId id, bool isOrigin);
+  void sendHealthReports();
+  void handleHealthReport(const HealthReport &report, Time now);
   void pullUpdates(InstanceId from, bool whole);
   Address addressOf(InstanceId id) const;
   void pullSeed(InstanceId from);
@@ -132,6 +139,7 @@
   PeerMessageStats Traffic;
   FragmentAssembler Fragments;
   UnreachableReportFilter ReportFilter;
+  HealthReportLimiter HealthLimiter;
   uint64_t MessagesSent = 0;
 };
 
--- a/lib/edge/SharedState.h
+++ b/lib/edge/SharedState.h
@@ -26,6 +26,9 @@
   uint64_t StaleOpenings = 0;
   uint64_t SendFailures = 0;
   uint64_t LogsDropped = 0;
+  /// Health reports that were not sent because the ring to the control thread
+  /// was full, counted once for each receiver.
+  uint64_t HealthReportsDropped = 0;
   uint64_t Flows = 0;
   uint64_t Servers = 0;
   uint64_t Routes = 0;
@@ -44,6 +47,9 @@
   /// From the packet thread: unreachable backend servers, to be reported to
   /// other instances.
   moodycamel::ReaderWriterQueue<token::BackendId> UnreachableBackends{64};
+  /// From the packet thread: changes of servers' health, to be reported to the
+  /// instances that share them.
+  moodycamel::ReaderWriterQueue<token::ReportHealth> HealthReports{64};
   Wakeup ControlWakeup;
 
   /// Routes and backend servers are known, so readiness probes succeed.
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -4,12 +4,14 @@
 #include "chicorybank/edge/Edge.h"
 
 #include "chicorybank/base/Socket.h"
+#include "edge/RegistrySync.h"
 #include "platform/PacketFraming.h"
 
 #include "RegistrySamples.h"
 #include "Story.h"
 
 #include <csignal>
+#include <fcntl.h>
 #include <httplib.h>
 #include <mutex>
 #include <poll.h>
@@ -152,6 +154,7 @@
   CPPUNIT_TEST_SUITE(EdgeTest);
   CPPUNIT_TEST(servesAndStops);
   CPPUNIT_TEST(startsFromAPeerWithoutTheRegistry);
+  CPPUNIT_TEST(passesHealthReportsToOtherInstances);
   CPPUNIT_TEST(reportsWhyItCannotStart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -167,13 +170,18 @@
     return out;
   }
 
-  /// Returns whether the metrics contain `line` within three seconds.
+  /// Returns whether the metrics contain `line`, followed by one of the
+  /// characters in `next` if there are any, within three seconds.
   static bool hasMetricsLine(const EdgeSettings &settings,
-                             const std::string &line) {
+                             const std::string &line,
+                             const std::string &next = "") {
     httplib::Client client("127.0.0.1", settings.Peers.Port);
     for (int n = 0; n < 150; ++n) {
       auto metrics = client.Get("/metrics");
-      if (metrics && metrics->body.find(line) != std::string::npos)
+      size_t at = metrics ? metrics->body.find(line) : std::string::npos;
+      if (at != std::string::npos &&
+          (next.empty() ||
+           next.find(metrics->body[at + line.size()]) != std::string::npos))
         return true;
       std::this_thread::sleep_for(20ms);
     }
@@ -309,6 +317,80 @@
     expectTrue(served, "an opening reaches the server");
   }
 
+  // Guards against instances that each lose requests at a server that another
+  // one has ejected: the report of the control thread of one instance, at
+  // another loopback address, must reach the packet thread of a running one.
+  void passesHealthReportsToOtherInstances() {
+    constexpr int64_t StartedAtMs = 1'796'256'000'123;
+    RegistryServer registry;
+    registry.change([&](Store &it) {
+      it.put(
+          "op/config",
+          R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"records"}]})");
+      it.put(
+          "servers/i-7",
+          R"({"service":"records","address":"127.0.0.9:1","zone":"a","slots":2,"state":"ready","born":1796256000123})");
+      it.instance("127.0.0.2");
+    });
+    EdgeSettings settings = settingsFor(registry);
+    settings.Core.Balancing.OutlierDetection = true;
+    platform::StoreDialect dialect;
+    platform::PacketFraming framing(settings.Packets.Port);
+    std::thread edge(
+        [&] { (void)chicory::edge::runEdge(settings, "", dialect, framing); });
+    bool isReady = becomesStatus(200, settings.Ready);
+
+    EdgeSettings senderSettings = settings;
+    senderSettings.Ip = Loopback + 1;
+    senderSettings.Peers.Ip = Loopback + 1;
+    EventLoop events;
+    FileDescriptor noLog(::open("/dev/null", O_WRONLY));
+    Log log(noLog.get(), "sender");
+    SharedState shared;
+    RegistrySync sender(events, log, senderSettings, dialect,
+                        std::move(*bindUdp(senderSettings.Peers)), shared);
+    auto report = [&](int64_t startedAtMs) {
+      shared.HealthReports.try_enqueue({.Id = token::BackendId{7},
+                                        .StartedAtMs = startedAtMs,
+                                        .Change = token::HealthChange::Ejected,
+                                        .To = {InstanceId{Loopback}}});
+      sender.run(steadyNow());
+    };
+    auto has = [&](const std::string &line, const std::string &next = "\n") {
+      return hasMetricsLine(settings, "chicory_health_reports_" + line, next);
+    };
+    report(StartedAtMs + 1);
+    bool isChecked = has("received_total 1") &&
+                     has("dropped_total{reason=\"not_applicable\"} 1");
+    // The receiver may be ready before it has the list of instances.
+    auto applied = [&] {
+      report(StartedAtMs);
+      httplib::Client client("127.0.0.1", settings.Peers.Port);
+      auto metrics = client.Get("/metrics");
+      return metrics &&
+             metrics->body.find("chicory_health_reports_applied_total 0\n") ==
+                 std::string::npos;
+    };
+    bool isApplied = false;
+    for (int n = 0; n < 50 && !isApplied; ++n) {
+      isApplied = applied();
+      std::this_thread::sleep_for(100ms);
+    }
+    for (size_t n = 0; n < 4 * HealthReportLimiter::MaxReports; ++n) {
+      report(StartedAtMs);
+      // Leaves the receiver time to empty its socket.
+      std::this_thread::sleep_for(50us);
+    }
+    const std::string dropped = "dropped_total{reason=\"over_limit\"} ";
+    bool isLimited = has(dropped, "123456789");
+    std::raise(SIGTERM);
+    edge.join();
+    expectTrue(isReady, "the instance is ready");
+    expectTrue(isChecked, "a report about another run of the server is not");
+    expectTrue(isApplied, "a report is applied");
+    expectTrue(isLimited, "a flood is limited");
+  }
+
   void reportsWhyItCannotStart() {
     RegistryServer registry;
     EdgeSettings settings = settingsFor(registry);
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -73,6 +73,8 @@
   CPPUNIT_TEST(omitsItemsThatNeedTooManyFragments);
   CPPUNIT_TEST(refusesDamagedFragments);
   CPPUNIT_TEST(restoresAnUnreachableReport);
+  CPPUNIT_TEST(restoresAHealthReport);
+  CPPUNIT_TEST(refusesDamagedHealthReports);
   CPPUNIT_TEST(refusesImpossibleLengths);
   CPPUNIT_TEST(restoresAPage);
   CPPUNIT_TEST(pushesTheRegistrationsOfAPollInterval);
@@ -225,6 +227,76 @@
     expectTrue(!decodeDatagram(bytes), "a truncated report is refused");
   }
 
+  // Guards against reports that name another server, or another run of it, than
+  // the sender meant: ids and start times use most of their 64 bits.
+  void restoresAHealthReport() {
+    property("a report is restored", [] {
+      HealthReport sent{
+          .Sender = InstanceId{*rc::gen::arbitrary<uint32_t>()},
+          .Backend = token::BackendId{*rc::gen::arbitrary<uint64_t>()},
+          .StartedAtMs = *rc::gen::nonNegative<int64_t>(),
+          .Change = *rc::gen::element(token::HealthChange::Ejected,
+                                      token::HealthChange::Restored)};
+      auto message = decodeDatagram(encodeHealthReport(sent));
+      RC_ASSERT(message.has_value());
+      const auto *got = std::get_if<HealthReport>(&*message);
+      RC_ASSERT(got != nullptr);
+      RC_ASSERT(got->Sender == sent.Sender && got->Backend == sent.Backend);
+      RC_ASSERT(got->StartedAtMs == sent.StartedAtMs);
+      RC_ASSERT(got->Change == sent.Change);
+    });
+    auto usual = encodeHealthReport({.Sender = InstanceId{0x0a010009},
+                                     .Backend = token::BackendId{0xa26ef81993},
+                                     .StartedAtMs = 1'792'362'410'000,
+                                     .Change = token::HealthChange::Ejected});
+    expectEqual<size_t>(27, usual.size());
+    auto unknownStart = decodeDatagram(encodeHealthReport(
+        {.StartedAtMs = -1, .Change = token::HealthChange::Restored}));
+    expectEqual<int64_t>(0, std::get<HealthReport>(*unknownStart).StartedAtMs);
+  }
+
+  // Guards against bad bytes that change what an instance believes of a server.
+  void refusesDamagedHealthReports() {
+    using namespace std::string_literals;
+    const std::string head = "\x96\x03\x04"s;
+    const std::string tooLarge = "\xcf\xff\xff\xff\xff\xff\xff\xff\xff"s;
+    expectTrue(decodeDatagram(head + "\x07\x09\x0b\x01"s).has_value(),
+               "a report with small numbers");
+    struct {
+      const char *What;
+      std::string Bytes;
+      Reason Why = Reason::BadPeerMessage;
+    } cases[] = {
+        {"no verdict", head + "\x07\x09\x0b\x00"s},
+        {"an unknown verdict", head + "\x07\x09\x0b\x03"s},
+        {"a verdict that is 1 in its last byte",
+         head + "\x07\x09\x0b\xcd\x01\x01"s},
+        {"a verdict that is not a number", head + "\x07\x09\x0b\xc3"s},
+        {"a sender of more than 32 bits", head + tooLarge + "\x09\x0b\x01"s},
+        {"a negative sender", head + "\xff\x09\x0b\x01"s},
+        {"a server that is a text", head + "\x07\xa1\x39\x0b\x01"s},
+        {"a start of more than 63 bits",
+         head + "\x07\x09"s + tooLarge + "\x01"s},
+        {"a value too few", "\x95\x03\x04\x07\x09\x0b"s},
+        {"a value too many", "\x97\x03\x04\x07\x09\x0b\x01\x01"s},
+        {"bytes after the report", head + "\x07\x09\x0b\x01\x01"s},
+        {"a kind that no datagram has", "\x96\x03\x05\x07\x09\x0b\x01"s},
+        {"another format version", "\x96\x02\x04\x07\x09\x0b\x01"s,
+         Reason::BadVersion},
+    };
+    for (const auto &it : cases) {
+      auto message = decodeDatagram(it.Bytes);
+      expectTrue(!message && message.error() == it.Why, it.What);
+    }
+    property("a truncated report is refused", [] {
+      std::string bytes =
+          encodeHealthReport({.Backend = token::BackendId{UINT64_MAX},
+                              .Change = token::HealthChange::Restored});
+      bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size()));
+      RC_ASSERT(!decodeDatagram(bytes));
+    });
+  }
+
   void refusesDamagedBytes() {
     property("truncated bytes are refused", [] {
       std::string bytes = encodePush(sample(50));
