--- a/include/chicorybank/edge/Settings.h
+++ b/include/chicorybank/edge/Settings.h
@@ -28,6 +28,9 @@
   Address Registry;
   WatcherTimes Watcher;
   token::CoreOptions Core;
+  /// The flags of the section `balancing`. `Core.Balancing` has, in addition,
+  /// what the contracts ask for.
+  token::BalancingOptions Balancing;
   /// The names of the deployment's contracts. The adapter to the platform knows
   /// which parts of `Core.Balancing` they ask for.
   std::vector<std::string> Contracts;
--- a/lib/edge/Settings.cpp
+++ b/lib/edge/Settings.cpp
@@ -76,6 +76,7 @@
   applyChange("times.max_flow_age", inUse.Core.MaxFlowAge,
               fresh.Core.MaxFlowAge, out.Applied);
   applyChange("times.grace", inUse.Grace, fresh.Grace, out.Applied);
+  noteChange("balancing", inUse.Balancing, fresh.Balancing, out.AfterRestart);
   noteChange("balancing.contracts", inUse.Contracts, fresh.Contracts,
              out.AfterRestart);
   noteChange("mechanisms", inUse.Core.Enabled, fresh.Core.Enabled,
@@ -130,10 +131,11 @@
     Section balancing(top, "balancing", file, findings);
     for (const auto &[name, at] : balancing->texts("contracts"))
       out.Contracts.push_back(name);
-    token::BalancingOptions &options = out.Core.Balancing;
+    token::BalancingOptions &options = out.Balancing;
     options.OutlierDetection = balancing->flag("outlier_detection", false);
     options.PriorityAdmission = balancing->flag("priority_admission", false);
     options.OverloadReadiness = balancing->flag("overload_readiness", false);
+    out.Core.Balancing = options;
 
     Section mechanisms(top, "mechanisms", file, findings);
     for (const token::MechanismName &it : token::MechanismNames)
--- a/tests/EdgeSettingsTest.cpp
+++ b/tests/EdgeSettingsTest.cpp
@@ -62,6 +62,8 @@
   CPPUNIT_TEST(readsTheFilledInTemplate);
   CPPUNIT_TEST(appliesChangesThatNeedNoRestart);
   CPPUNIT_TEST(disablesMechanisms);
+  CPPUNIT_TEST(readsWhatBalancingTurnsOn);
+  CPPUNIT_TEST(keepsBalancingUntilARestart);
   CPPUNIT_TEST(refusesCharactersBetweenValues);
   CPPUNIT_TEST(refusesCharactersAfterMisplacedQuotes);
   CPPUNIT_TEST_SUITE_END();
@@ -110,6 +112,47 @@
     expectTrue(text.find("probes") != std::string::npos, text);
   }
 
+  // Guards against a deployment that is served otherwise than before although
+  // its settings do not ask for it, and against a flag that is silently off.
+  void readsWhatBalancingTurnsOn() {
+    using chicory::token::BalancingOptions;
+    Findings findings;
+    expectTrue(read(Good, findings)->Core.Balancing == BalancingOptions{},
+               "all off by default");
+    for (auto [key, expected] :
+         std::initializer_list<std::pair<std::string, BalancingOptions>>{
+             {"outlier_detection", {.OutlierDetection = true}},
+             {"priority_admission", {.PriorityAdmission = true}},
+             {"overload_readiness", {.OverloadReadiness = true}}}) {
+      std::string section = Good + "[balancing]\n" + key;
+      auto settings = read(section + " = true\n", findings);
+      expectEqual<std::string>("", findings.text());
+      expectTrue(settings->Core.Balancing == expected, key);
+      std::string text = findingsOf(section + " = \"yes\"\n");
+      expectTrue(text.starts_with("edge.toml:16:") &&
+                     text.find(key) != std::string::npos,
+                 text);
+    }
+    std::string text = findingsOf(Good + "[balancing]\noutliers = true\n");
+    expectTrue(text.starts_with("edge.toml:16:"), text);
+    text = findingsOf(Good + "[balancing]\ncontracts = [\"health\", 1]\n");
+    expectTrue(text.starts_with("edge.toml:16:"), text);
+  }
+
+  // Guards against an operator who believes that a changed flag is in force:
+  // the packet thread has its own copy of the settings.
+  void keepsBalancingUntilARestart() {
+    Findings findings;
+    auto inUse = read(Good, findings);
+    auto fresh =
+        read(Good + "[balancing]\noutlier_detection = true\n", findings);
+    auto change = applyChanges(*inUse, *fresh);
+    expectTrue(change.Applied.empty(), "nothing is applied");
+    expectTrue(change.AfterRestart == std::vector<std::string>{"balancing"},
+               "a restart is needed");
+    expectTrue(!inUse->Core.Balancing.OutlierDetection, "still off");
+  }
+
   void readsAFile() {
     Findings findings;
     auto settings = read(Good, findings);
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(readsTheConfiguration);
   CPPUNIT_TEST(reportsARouteThatNeverMatches);
   CPPUNIT_TEST(leavesOutAnUnreadableRoute);
+  CPPUNIT_TEST(readsPriorityAndTimesOfARoute);
   CPPUNIT_TEST(readsWarmUpLimits);
   CPPUNIT_TEST(readsARegistration);
   CPPUNIT_TEST(reportsFaultsWithTheirPath);
@@ -115,6 +116,60 @@
         findings.text());
   }
 
+  // Guards against a route that is out of service, or an overflow of its times,
+  // because of a wrong value that only some decisions need.
+  void readsPriorityAndTimesOfARoute() {
+    const token::Route defaults;
+    auto routeWith = [](const std::string &from, const std::string &to,
+                        Findings &findings) {
+      std::string text = Config;
+      text.replace(text.find(from), from.size(), to);
+      ItemContent content = read("op/config", text, findings);
+      const auto &routes = std::get<token::RouteSet>(content).Routes;
+      expectEqual<size_t>(2, routes.size());
+      return routes[0];
+    };
+    Findings none;
+    token::Route route = routeWith("r-a", "r-a", none);
+    expectEqual<uint32_t>(2, route.Priority);
+    expectTrue(route.Objective == 150ms && route.Timeout == 2500ms, "times");
+    route =
+        routeWith(R"("timeout_ms":2500,"aim_ms":150,"priority":2,)", "", none);
+    expectEqual<uint32_t>(0, route.Priority);
+    expectTrue(route.Objective == defaults.Objective &&
+                   route.Timeout == defaults.Timeout,
+               "the defaults of absent ones");
+    route = routeWith(R"("priority":2)", R"("priority":1000)", none);
+    expectEqual<uint32_t>(255, route.Priority);
+    expectEqual<std::string>("", none.text());
+    for (const char *wrong :
+         {R"("2")", "-1", "true", "[]", "1e300", "9223372036854775808"}) {
+      Findings findings;
+      route = routeWith(R"("priority":2)",
+                        std::string(R"("priority":)") + wrong, findings);
+      expectEqual<uint32_t>(0, route.Priority);
+      expectTrue(findings.text().starts_with("op/config.routes[0]: priority: "),
+                 wrong);
+    }
+    for (const char *wrong : {R"("150")", "-1", "0", "0.5", "false", "1e300"})
+      for (std::string name : {"aim_ms", "timeout_ms"}) {
+        Findings findings;
+        std::string key = '"' + name + "\":";
+        std::string value = name == "aim_ms" ? "150" : "2500";
+        route = routeWith(key + value, key + wrong, findings);
+        expectTrue(name == "aim_ms" ? route.Objective == defaults.Objective
+                                    : route.Timeout == defaults.Timeout,
+                   "the default instead of " + key + wrong);
+        expectTrue(
+            findings.text().starts_with("op/config.routes[0]: " + name + ": "),
+            key + wrong);
+      }
+    Findings findings;
+    route = routeWith(R"("aim_ms":150)", R"("aim_ms":9223372036854775807)",
+                      findings);
+    expectTrue(route.Objective > 1h, "no overflow");
+  }
+
   void readsWarmUpLimits() {
     auto warmUpsOf = [](const std::string &services, Findings &findings) {
       ItemContent content = read(
