--- a/lib/token/ResponseTracking.cpp
+++ b/lib/token/ResponseTracking.cpp
@@ -3,6 +3,7 @@
 
 #include "chicorybank/token/Core.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chicory::token {
@@ -12,6 +13,9 @@
 // A response on a flow that stays open is complete once the caller has
 // acknowledged nothing for this long. Longer than a retransmission.
 constexpr Duration ResponseIdleTime = std::chrono::milliseconds(300);
+// If a service has fewer servers than a subset, all instances of the zone share
+// them.
+constexpr size_t MaxReportReceivers = 16;
 // The shares change up to five times a second.
 constexpr Duration ShareLogInterval = std::chrono::seconds(1);
 
@@ -24,8 +28,8 @@
                          Actions &actions) {
   if (!selectsByHealth() || !flow.SeenFromOpening)
     return;
-  bool isRepeated = flow.RequestInProgress &&
-                    head.Acknowledged == flow.LastAcknowledged;
+  bool isRepeated =
+      flow.RequestInProgress && head.Acknowledged == flow.LastAcknowledged;
   // The next request may be the first packet that acknowledges the response.
   if (head.DataBytes == 0 || !isRepeated)
     flow.Response.onAcknowledged(head.Acknowledged, now);
@@ -107,11 +111,14 @@
                .Why = ejected ? Reason::BackendFailing : Reason::None,
                .Backend = info.Id},
               now, actions);
-  if (!Options.Enabled.HealthReports)
+  // Reports between zones would cost more than they save, since few flows go to
+  // another zone.
+  if (!Options.Enabled.HealthReports || info.Zone != Options.Zone)
     return;
   std::vector<InstanceId> receivers = Selector.sharers(i, Servers);
   if (receivers.empty())
     return;
+  receivers.resize(std::min(receivers.size(), MaxReportReceivers));
   Stats.HealthReportsSent += receivers.size();
   actions.emplace_back(ReportHealth{.Id = info.Id,
                                     .StartedAtMs = info.StartedAtMs,
