--- a/tests/EdgeSettingsTest.cpp
+++ b/tests/EdgeSettingsTest.cpp
@@ -124,7 +124,8 @@
              {"outlier_detection", {.OutlierDetection = true}},
              {"priority_admission", {.PriorityAdmission = true}},
              {"overload_readiness", {.OverloadReadiness = true}}}) {
-      std::string section = Good + "[balancing]\n" + key;
+      std::string section = Good;
+      section.append("[balancing]\n").append(key);
       auto settings = read(section + " = true\n", findings);
       expectEqual<std::string>("", findings.text());
       expectTrue(settings->Core.Balancing == expected, key);
