--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -16,6 +16,8 @@
 #include "chicorybank/token/FlowTracker.h"
 #include "chicorybank/token/Histogram.h"
 #include "chicorybank/token/Mechanisms.h"
+#include "chicorybank/token/PriorityAdmission.h"
+#include "chicorybank/token/ServerSelector.h"
 #include "chicorybank/token/Zones.h"
 
 #include <array>
@@ -25,6 +27,18 @@
 
 namespace chicory::token {
 
+/// Decisions that a deployment's settings ask for. All are off by default.
+struct BalancingOptions {
+  /// Judge servers by what callers' packets show of their responses.
+  bool OutlierDetection = false;
+  /// Refuse new flows of low priority while a service has no room.
+  bool PriorityAdmission = false;
+  /// Report "not ready" while this instance can't keep up with its packets.
+  bool OverloadReadiness = false;
+
+  bool operator==(const BalancingOptions &) const = default;
+};
+
 /// Settings of a core.
 struct CoreOptions {
   std::string Zone;
@@ -54,6 +68,8 @@
   Duration SuspectFor = std::chrono::milliseconds(800);
   Duration SuspectForMax = std::chrono::seconds(4);
   ReachabilityOptions Probing;
+  SelectorOptions Selection;
+  AdmissionOptions Admission;
   ZoneOptions Zoning;
   /// A token that remains unknown for this long, while registrations are
   /// current, belongs to a server that has ended: registrations arrive within a
@@ -63,6 +79,7 @@
   /// Anyone can send packets with forged tokens, which must not exhaust the
   /// memory of an instance. Further flows are only dropped, not reset.
   size_t MaxUnknownFlows = 10'000;
+  BalancingOptions Balancing;
   Mechanisms Enabled;
 };
 
@@ -80,6 +97,23 @@
   uint64_t ProbesFailed = 0;
   /// Servers that got no new flows because their address was contested.
   uint64_t ContestedAddresses = 0;
+  /// Responses and requests without one, as far as they were judged.
+  uint64_t WholeResponses = 0;
+  uint64_t ShortResponses = 0;
+  uint64_t StalledRequests = 0;
+  uint64_t OverdueRequests = 0;
+  uint64_t Ejections = 0;
+  uint64_t Restores = 0;
+  /// Health reports sent, counted once for each receiver, and received.
+  uint64_t HealthReportsSent = 0;
+  uint64_t HealthReportsApplied = 0;
+  uint64_t HealthReportsIgnored = 0;
+  /// New flows by where their server was found.
+  uint64_t SubsetChoices = 0;
+  uint64_t OtherZoneChoices = 0;
+  uint64_t FullScans = 0;
+  /// Choices that ignored the health of servers, since most looked unhealthy.
+  uint64_t PanicChoices = 0;
   /// Time from an opening sent to the caller's next packet.
   Histogram HandshakeTime;
   /// Time from the data of a request to the first sign of its answer.
@@ -143,6 +177,7 @@
   void on(const BoundsChanged &event, Time now, Actions &actions);
   void on(const ProbeEnded &event, Time now, Actions &actions);
   void on(const BackendReportedUnreachable &event, Time now, Actions &actions);
+  void on(const BackendHealthReported &event, Time now, Actions &actions);
   void on(const Tick &event, Time now, Actions &actions);
 
   void openFlow(const PacketReceived &event, Time now, Actions &actions);
@@ -161,7 +196,40 @@
                             BackendIndex avoid, Time now);
   /// Returns the reason why a route has no server for a new flow.
   Reason whyNoServer(const Route &route) const;
-  BackendIndex chooseServerOf(ServiceId service, BackendIndex avoid, Time now);
+  BackendIndex chooseServerOf(ServiceId service, bool idempotent,
+                              BackendIndex avoid, Time now);
+  BackendIndex scanServersOf(ServiceId service, BackendIndex avoid, Time now);
+  BackendIndex selectByHealth(ServiceId service, bool idempotent,
+                              BackendIndex avoid, Time now);
+  /// Returns true if servers are selected by what was observed of them.
+  bool selectsByHealth() const {
+    return Options.Balancing.OutlierDetection &&
+           Options.Enabled.OutlierDetection;
+  }
+  bool mayBeAdmitted(const FlowPacket &head, const Route &route, BackendIndex i,
+                     Time now);
+  /// Returns true if a server would accept new flows if its registration were
+  /// not missing.
+  bool isMissingOnly(const Backend &backend) const {
+    return Options.Enabled.MissingAsLastResort &&
+           backend.State == BackendState::Missing &&
+           backend.mayAcceptNewFlows();
+  }
+  void onFlowOpened(BackendIndex i, Time now);
+  void updatePriorities(const RouteSet &routes);
+  void logShortage(Time now, Actions &actions);
+
+  void trackResponse(const FlowPacket &head, FlowState &flow, Time now,
+                     Actions &actions);
+  void finishResponse(const FlowKey &key, FlowState &flow, Time now,
+                      Actions &actions);
+  void checkResponse(const FlowKey &key, FlowState &flow, Time now,
+                     Actions &actions);
+  void recordStall(FlowState &flow, Time now, Actions &actions);
+  void recordOutcome(BackendIndex i, bool good, HealthChange change, Time now,
+                     Actions &actions);
+  void announceHealth(BackendIndex i, HealthChange change, Time now,
+                      Actions &actions);
   double costOf(const Backend &backend, bool ownZoneFirst, Time now);
   /// Returns whether a new flow of a service prefers servers of the own zone.
   bool prefersOwnZone(ServiceId service);
@@ -228,7 +296,7 @@
   /// Forgets a tracked flow that is too old for a new opening packet to belong
   /// to it.
   void forgetEarlierFlow(const FlowKey &key, Time now);
-  void sweep(Time now);
+  void sweep(Time now, Actions &actions);
 
   void send(BackendIndex i, Bytes raw, Actions &actions);
   /// Appends a decision, with the time, the version and the age of the updates.
@@ -271,6 +339,16 @@
   Backends Servers;
   WarmUpLimits WarmUps;
   Zones ZoneView;
+  ServerSelector Selector;
+  Selection LastSelection;
+  PriorityAdmission Admission;
+  /// The priorities of the routes that lead to each service.
+  std::map<ServiceId, std::vector<uint32_t>> Priorities;
+  /// Admitted shares as they were last logged, below 1 only.
+  std::map<std::pair<ServiceId, uint32_t>, double> LoggedShares;
+  Time SharesLoggedAt;
+  /// A choice has begun to ignore the health of servers; not logged yet.
+  bool PanicStarted = false;
   FlowTracker Flows;
   std::deque<Opening> Openings;
   std::deque<Request> Requests;
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -97,13 +97,23 @@
   BackendId Id;
 };
 
+/// Another instance that shares a server reports a change of its health.
+struct BackendHealthReported {
+  InstanceId Sender;
+  BackendId Id;
+  /// `Registration::StartedAtMs` of the server that the report is about.
+  int64_t StartedAtMs = 0;
+  HealthChange Change = HealthChange::None;
+};
+
 /// Advances timers; see `Core::nextTick` for when it is due.
 struct Tick {};
 
-using Event = std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
-                           BackendsLearned, ZoneDrainLearned, InstancesLearned,
-                           BackendsComplete, FreshnessUpdated, BoundsChanged,
-                           ProbeEnded, BackendReportedUnreachable, Tick>;
+using Event =
+    std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
+                 BackendsLearned, ZoneDrainLearned, InstancesLearned,
+                 BackendsComplete, FreshnessUpdated, BoundsChanged, ProbeEnded,
+                 BackendReportedUnreachable, BackendHealthReported, Tick>;
 
 /// Send the packet to a backend server, with this token written into it.
 struct Forward {
@@ -136,6 +146,21 @@
   BackendId Id;
 };
 
+/// Report a change of a server's health to the instances that share it.
+struct ReportHealth {
+  BackendId Id;
+  int64_t StartedAtMs = 0;
+  HealthChange Change = HealthChange::None;
+  std::vector<InstanceId> To;
+};
+
+/// The share of a service's new flows of one priority that are admitted.
+struct AdmittedShare {
+  ServiceId Service;
+  uint32_t Priority = 0;
+  double Share = 1;
+};
+
 /// A decision to write to the log.
 struct Decision {
   /// Name of the log event, one word; a string literal.
@@ -156,10 +181,12 @@
   /// For `backend_gone` and `backend_contested`, the conflict with another
   /// server's registration.
   std::optional<AddressConflict> Conflict;
+  /// For `service_overloaded`.
+  std::optional<AdmittedShare> Admitted;
 };
 
-using Action =
-    std::variant<Forward, ResetFlow, ProbeBackend, ReportUnreachable, Decision>;
+using Action = std::variant<Forward, ResetFlow, ProbeBackend, ReportUnreachable,
+                            ReportHealth, Decision>;
 using Actions = std::vector<Action>;
 
 } // namespace chicory::token
--- a/lib/edge/ControlWorker.cpp
+++ b/lib/edge/ControlWorker.cpp
@@ -45,7 +45,7 @@
 }
 
 HttpResponse ControlWorker::answerReady() const {
-  bool ready = State.ReadyToServe && !Stopping;
+  bool ready = State.ReadyToServe && !Stopping && !State.Overloaded;
   return {.Status = ready ? HttpOk : HttpUnavailable,
           .ContentType = "text/plain"};
 }
@@ -67,6 +67,7 @@
     checkSuspension(before + wait, bootTimeNow());
     now = steadyNow();
     logDecisions();
+    logOverload();
     if (now >= IdleCheckAt) {
       IdleCheckAt = now + LogInterval;
       Ready.closeIdleConnections(now);
@@ -116,6 +117,12 @@
           .with("flows", static_cast<int64_t>(stats.Flows))
           .with("packets", static_cast<int64_t>(stats.Core.Packets))
           .with("opened", static_cast<int64_t>(stats.Core.Opened))
+          .with("ejections", static_cast<int64_t>(stats.Core.Ejections))
+          .with("restores", static_cast<int64_t>(stats.Core.Restores))
+          .with("short_responses",
+                static_cast<int64_t>(stats.Core.ShortResponses))
+          .with("overdue_requests",
+                static_cast<int64_t>(stats.Core.OverdueRequests))
           .with("registry_calls", calls.text())
           .with("registry_failures", static_cast<int64_t>(watcher.Failures))
           .with("pushes", static_cast<int64_t>(watcher.Pushes))
@@ -170,4 +177,15 @@
     Logger.write(decisionLine(decision, steadyNow()));
 }
 
+/// Logs that readiness probes fail or succeed again because of overload.
+void ControlWorker::logOverload() {
+  bool overloaded = State.Overloaded;
+  if (overloaded == LoggedOverload)
+    return;
+  LoggedOverload = overloaded;
+  Logger.write(LogLine("instance_overloaded")
+                   .with("state", overloaded ? "on" : "off")
+                   .with("not_empty_ms", State.BacklogMs));
+}
+
 } // namespace chicory::edge
--- a/lib/edge/SharedState.h
+++ b/lib/edge/SharedState.h
@@ -26,6 +26,9 @@
   uint64_t StaleOpenings = 0;
   uint64_t SendFailures = 0;
   uint64_t LogsDropped = 0;
+  /// Health reports that were not sent because the ring to the control thread
+  /// was full, counted once for each receiver.
+  uint64_t HealthReportsDropped = 0;
   uint64_t Flows = 0;
   uint64_t Servers = 0;
   uint64_t Routes = 0;
@@ -44,10 +47,19 @@
   /// From the packet thread: unreachable backend servers, to be reported to
   /// other instances.
   moodycamel::ReaderWriterQueue<token::BackendId> UnreachableBackends{64};
+  /// From the packet thread: changes of servers' health, to be reported to the
+  /// instances that share them.
+  moodycamel::ReaderWriterQueue<token::ReportHealth> HealthReports{64};
   Wakeup ControlWakeup;
 
   /// Routes and backend servers are known, so readiness probes succeed.
   std::atomic<bool> ReadyToServe = false;
+  /// From the packet thread: it can't keep up with its packets, so readiness
+  /// probes fail (OverloadDetector.h).
+  std::atomic<bool> Overloaded = false;
+  /// For how long the packet socket was not empty, in milliseconds, when
+  /// `Overloaded` last changed.
+  std::atomic<int64_t> BacklogMs = 0;
   std::atomic<bool> Stopped = false;
 
   /// Returns the packet thread's statistics as of its last `publish`.
