Let the switch of subsets turn them off

server_subsets was a setting that nothing read, so an ablation would have measured nothing. Without subsets every instance uses all servers of its zone. ServerSelectorTest: 6 of 18 servers with subsets of three instances, 18 without.

--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -128,8 +128,7 @@
     double Cost = 0;
   };
 
-  void rank(const std::vector<SubsetMember> &members,
-            const SelectionRequest &request, const Backends &servers,
+  void rank(const std::vector<SubsetMember> &members, const Backends &servers,
             double penalty, Time now, Selection &out, Ranking &ranking) const;
   bool collect(const SelectionRequest &request, const std::string &zone,
                const Backends &servers, const Eligible &eligible, Time now,
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -22,13 +22,23 @@
 // flow that is older than a server's process by more than this counts as older.
 constexpr Duration MaxClockError = std::chrono::seconds(5);
 
+// With subsets as large as this, each one holds all servers.
+constexpr size_t AllServers = 1'000'000;
+
+SelectorOptions selectorOptions(const CoreOptions &options) {
+  SelectorOptions out = options.Selection;
+  if (!options.Enabled.ServerSubsets)
+    out.Subsets.MinServers = out.Subsets.MaxServers = AllServers;
+  return out;
+}
+
 } // namespace
 
 Core::Core(CoreOptions options)
     : Options(std::move(options)), Routes(Options.MaxFlowAge),
       Servers(Options.Servers), WarmUps(Options.Self),
       ZoneView(Options.Zone, Options.Zoning),
-      Selector(Options.Zone, Options.Self, Options.Selection),
+      Selector(Options.Zone, Options.Self, selectorOptions(Options)),
       Admission(Options.Admission), Random(Options.Seed) {}
 
 void Core::handle(const Event &event, Time now, Actions &actions) {
--- a/lib/token/ServerSelector.cpp
+++ b/lib/token/ServerSelector.cpp
@@ -63,7 +63,6 @@
 }
 
 void ServerSelector::rank(const std::vector<SubsetMember> &members,
-                          const SelectionRequest & /*request*/,
                           const Backends &servers, double penalty, Time now,
                           Selection &out, Ranking &ranking) const {
   for (const SubsetMember &it : members) {
@@ -98,7 +97,7 @@
     PanicAt[request.Service.Value] = now;
   for (const SubsetMember &it : members)
     out.LoadHere += servers.at(it.Server).load();
-  rank(members, request, servers, 0, now, out, ranking);
+  rank(members, servers, 0, now, out, ranking);
   bool ownZoneIsBusy = ranking.Best == NoBackend ||
                        servers.at(ranking.Best).load() >= Options.SpillAtLoad;
   if (ownZoneIsBusy || !request.OwnZoneFirst) {
@@ -109,7 +108,7 @@
         continue;
       members.clear();
       collect(request, zone, servers, eligible, now, members);
-      rank(members, request, servers, penalty, now, out, ranking);
+      rank(members, servers, penalty, now, out, ranking);
     }
     if (ranking.Best != bestHere)
       out.Source = SelectionSource::OtherZone;
--- a/tests/ServerSelectorTest.cpp
+++ b/tests/ServerSelectorTest.cpp
@@ -113,6 +113,7 @@
   CPPUNIT_TEST(usesAnotherZoneIfNoServerIsLeft);
   CPPUNIT_TEST(choosesAsBeforeWithoutTheSetting);
   CPPUNIT_TEST(refusesLowPriorityUnderAShortage);
+  CPPUNIT_TEST(usesAllServersWithoutSubsets);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against callers that keep meeting a server that answers with errors
@@ -274,6 +275,26 @@
     expectEqual<uint64_t>(0, stats.WholeResponses + stats.ShortResponses);
   }
 
+  // Guards against an ablation that measures nothing: with subsets off, an
+  // instance of three uses all servers instead of six.
+  void usesAllServersWithoutSubsets() {
+    auto serversUsed = [](bool subsets) {
+      Instance instance({.Zone = "a",
+                         .Self = InstanceId{1},
+                         .Balancing = {.OutlierDetection = true},
+                         .Enabled = {.ServerSubsets = subsets}});
+      std::vector<Registration> servers;
+      for (uint64_t id = 1; id <= 18; ++id)
+        servers.push_back(server(id));
+      instance.configure(servers);
+      instance.handle(RoutesLearned{routesOf(true)});
+      instance.handle(InstancesLearned{{peer(1), peer(2), peer(3)}});
+      return Callers(instance).requests(200).size();
+    };
+    expectEqual<size_t>(6, serversUsed(true));
+    expectEqual<size_t>(18, serversUsed(false));
+  }
+
   // Guards against orders that wait behind polls: with every server refusing
   // most requests, new flows of the lower priority are refused first, and never
   // a copy of an opening.
