--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -344,7 +344,7 @@
   PriorityAdmission Admission;
   /// The priorities of the routes that lead to each service.
   std::map<ServiceId, std::vector<uint32_t>> Priorities;
-  /// Admitted shares as they were last logged, below 1 only.
+  /// Admitted shares as they were last logged.
   std::map<std::pair<ServiceId, uint32_t>, double> LoggedShares;
   Time SharesLoggedAt;
   /// A choice has begun to ignore the health of servers; not logged yet.
--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -30,8 +30,6 @@
 struct SelectorOptions {
   OutlierOptions Outliers;
   SubsetOptions Subsets;
-  /// Whether servers are judged by their responses at all.
-  bool DetectOutliers = true;
   /// A flow in another zone breaks if that zone is cut off, so another zone is
   /// considered only if the best server of the own zone has this many requests
   /// of this instance in progress, and then its servers cost as much more.
--- a/lib/token/ResponseTracking.cpp
+++ b/lib/token/ResponseTracking.cpp
@@ -13,8 +13,8 @@
 // A response on a flow that stays open is complete once the caller has
 // acknowledged nothing for this long. Longer than a retransmission.
 constexpr Duration ResponseIdleTime = std::chrono::milliseconds(300);
-// If a service has fewer servers than a subset, all instances of the zone share
-// them.
+// Bounds the datagrams of one report. If a service has fewer servers than a
+// subset, all instances of the zone share them.
 constexpr size_t MaxReportReceivers = 16;
 // The shares change up to five times a second.
 constexpr Duration ShareLogInterval = std::chrono::seconds(1);
--- a/lib/token/ServerSelector.cpp
+++ b/lib/token/ServerSelector.cpp
@@ -1,7 +1,6 @@
 #include "chicorybank/token/ServerSelector.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace chicory::token {
 
