--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,7 +24,7 @@
                 ident += 0x01000193
                 await world.add_server(ident, service, zone, n if service == "records" else 3)
     await world.start()
-    await world.add_clients(lambda it: it.feed(world.routes["records"], 0.3, 60), 20)
+    await world.add_clients(lambda it: it.feed(world.routes["records"], 0.3, 60), 30)
     await world.add_clients(lambda it: it.singles(world.routes["certificates"], 0.2), 2)
     # The traffic is steady, and all machines are in touch.
     await asyncio.sleep(CALM_S)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,7 +27,7 @@
                 await world.add_server(ident, service, zone, n if service == "records" else 4)
     await world.start()
     zone = list(ZONES)[1]
-    await world.add_clients(lambda it: it.feed(world.routes["records"], 0.15, 24), 90, (zone,))
+    await world.add_clients(lambda it: it.feed(world.routes["records"], 0.15, 21), 110, (zone,))
     await world.add_clients(lambda it: it.feed(world.routes["records"], 0.5, 10), 5)
     # The traffic is steady, and all machines are in touch.
     await asyncio.sleep(CALM_S + world.random.uniform(0, 0.5))
