--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins"))
 sys.dont_write_bytecode = True
@@ -15,7 +16,9 @@
 CALM_S = 6.0
 # A call without an answer "may be executed seconds later"; `platform_lost`, how late: 1 to 6 s.
 EXECUTED_AFTER_S = 5.9
-WATCH_S = 5.0
+# When one machine is stopped and started as planned, and again, in seconds after the crash; the end of the run.
+STOPS_S = (14.0, 26.5)
+ENDS_S = 32.0
 
 
 async def story(world):
@@ -27,17 +30,20 @@
                 ident += 0x01000193
                 await world.add_server(ident, service, zone, n if service == "records" else 3 + n)
     await world.start()
-    await world.add_clients(lambda it: it.feed(world.routes["records"], 0.3, 25), 25)
+    zone = list(ZONES)[0]
+    await world.add_clients(lambda it: it.feed(world.routes["records"], 0.3, 25), 45, (zone,))
+    await world.add_clients(lambda it: it.feed(world.routes["records"], 0.3, 25), 5)
     await world.add_clients(lambda it: it.singles(world.routes["certificates"], 0.2), 2)
     await asyncio.sleep(CALM_S)
     # A target of certificates crashes while its heartbeat is on the way; the one before was answered.
-    old = next(it for it in world.servers if it.service == "certificates")
+    old = next(it for it in world.servers if it.service == "certificates" and it.zone == zone)
     sequence = old.sequence
     while old.sequence == sequence:
         await asyncio.sleep(0.01)
     await asyncio.sleep(HEARTBEAT_S - 0.05)
     last = json.loads(old.entry())
     old.crash()
+    world.store_disturbed = time.monotonic()
     world.note(f"{old.name} crashed; its last heartbeat has no answer")
     loop = asyncio.get_running_loop()
     crashed = loop.time()
@@ -61,8 +67,14 @@
     # Three heartbeat intervals without another heartbeat.
     await until(EXECUTED_AFTER_S + 3 * HEARTBEAT_S)
     world.store.remove(old.key)
-    await asyncio.sleep(WATCH_S)
-    world.note(f"{new.name} lives; it took {new.openings - openings} opening packets in the last {3 * HEARTBEAT_S + WATCH_S:.1f} s")
+    world.note(f"{new.name} lives; it took {new.openings - openings} opening packets since then")
+    machine = next(it for it in world.edges if it.zone == zone)
+    for at in STOPS_S:
+        await until(at)
+        openings = new.openings
+        await machine.stop_planned()
+    await until(ENDS_S)
+    world.note(f"{new.name} lives; it took {new.openings - openings} opening packets since the last stop")
 
 
 if __name__ == "__main__":
--- a/review/standins/parties.py
+++ b/review/standins/parties.py
@@ -38,6 +38,7 @@
         self.drain_acknowledged = None
         self.sequence = 0
         self.openings = 0
+        self.started = time.monotonic()
         self.first_seq = 1000 + ident % (1 << 24)
 
     async def start(self):
