Only an answer at an address ends the other server registered there

Callers: flows of a running server were reset, and it got no new ones, after the store had executed the last write of the former owner of its address seconds late. The server stayed gone on the instances that ran, also after the late registration had expired; instances that started used it, and their flows were reset when planned work moved them.

Cause: Backends::takeAddress took a later revision of creation for proof that the other server had ended, and markReplaced was final while the server's own entry did not change.

Change: all claimants of an address keep their flows, the likely owner alone gets new ones, and an answer to what was sent after another claimant was learned shows that this one has ended. What that concluded ends with the owner. An owner that leaves openings unanswered yields.

Weighed: the end of a server's own registration alone (callers of a dead server wait for up to three heartbeats), silence of its requests (flows of a slow server are reset).

--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -4,10 +4,12 @@
 #ifndef CHICORYBANK_TOKEN_BACKENDS_H
 #define CHICORYBANK_TOKEN_BACKENDS_H
 
+#include "chicorybank/token/AddressClaims.h"
 #include "chicorybank/token/Reachability.h"
 #include "chicorybank/token/Types.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -113,9 +115,17 @@
   uint32_t Suspicions = 0;
   /// The operators drain the zone of the server.
   bool ZoneDrained = false;
-  /// Another server is registered at the same address, and that registration is
-  /// most likely the newer one.
+  /// Another server is registered at the same address and is its likely owner.
   bool AddressContested = false;
+  /// The server is gone because another one has answered at its address. Its
+  /// registration still stands.
+  bool Replaced = false;
+  /// When this instance learned that the server's present process has this
+  /// address.
+  Time ClaimedAt;
+  /// The server has answered something that this instance sent at this time, so
+  /// it was running then or later.
+  Time AliveAfter;
   /// When the warm-up ends, and when the server may next get a new flow before
   /// that.
   Time WarmUpUntil;
@@ -143,18 +153,16 @@
 /// drain.
 using DrainedZones = std::map<std::string, Time>;
 
-/// How long ended servers are kept in the list.
+/// How long what is known of a server counts.
 struct BackendTimes {
   /// How long a server that is gone stays in the list: the maximum age of a
   /// flow.
   Duration GoneRetention = std::chrono::seconds(60);
+  /// The address of a server that has ended is not given to another one for at
+  /// least this long. (Requirement: two seconds.)
+  Duration AddressUnusedFor = std::chrono::seconds(1);
 };
 
-/// Position of a backend server in `Backends`; stable while the server is in
-/// the list.
-using BackendIndex = uint32_t;
-inline constexpr BackendIndex NoBackend = UINT32_MAX;
-
 /// The list of backend servers.
 class Backends {
 public:
@@ -163,22 +171,29 @@
   /// Applies a registration that was read. Returns true if the state of the
   /// server changed.
   ///
-  /// The address of a server that has ended is given to other servers. An older
-  /// registration of the same address belongs to a server that has ended; its
-  /// flows would wait until the registration expires. So that server is marked
-  /// as gone at once. Probes can't detect this, since the new owner answers
-  /// them.
-  ///
-  /// If it is not certain which registration is older, as after a restore of
-  /// the registry, both servers keep their flows, and the one that is most
-  /// likely older gets no new ones. The conflict ends when one of the
-  /// registrations ends, or is made again.
+  /// The address of a server that has ended is given to other servers, and the
+  /// registry may execute a write seconds after its server has ended. So a
+  /// registration proves neither that its server is running nor that an earlier
+  /// one at its address has ended. Of several servers at one address all keep
+  /// their flows, the likely owner alone gets new ones, and `recordAnswer`
+  /// decides.
   ///
   /// A registration of a process that started before the known one arrived late
   /// and changes nothing. If the process started later, the server has
   /// restarted: all observations of it are discarded, and `takeRestarted`
   /// returns it.
   bool applyRegistration(const Registration &info, Time now);
+  /// Records that a server has answered something that was sent to it at
+  /// `sentAt`.
+  ///
+  /// An address has one owner at a time. So any other server that was
+  /// registered there before `sentAt` has ended, whatever the registry still
+  /// holds: it becomes gone, until its process is another one or the owner
+  /// ends.
+  void recordAnswer(BackendIndex i, Time sentAt, Time now);
+  /// Makes another claimant of the server's address its likely owner, because
+  /// this one does not answer.
+  void yieldAddress(BackendIndex i);
   /// Marks a server as missing because its registration expired or was deleted.
   /// Returns true if the state changed.
   bool markMissing(BackendId id, Time now);
@@ -198,6 +213,11 @@
   std::vector<BackendIndex> takeRestarted() {
     return std::exchange(Restarted, {});
   }
+  /// Returns the servers that were gone because of another one at their address
+  /// and are back since the last call, because that one has ended.
+  std::vector<BackendIndex> takeReinstated() {
+    return std::exchange(Reinstated, {});
+  }
   /// Returns the servers whose `AddressContested` has changed since the last
   /// call.
   std::vector<BackendIndex> takeContested() {
@@ -214,7 +234,7 @@
   /// Returns the conflict because of which a server is gone, or null if its
   /// registration has ended.
   const AddressConflict *lostConflict(BackendIndex i) const;
-  /// Returns the conflict of a server with the owner of its address.
+  /// Returns the conflict of a server with the likely owner of its address.
   AddressConflict conflictOf(BackendIndex i) const;
   /// Returns the server with this id, whatever its state, or `NoBackend`.
   BackendIndex find(BackendId id) const;
@@ -233,20 +253,40 @@
   }
 
 private:
-  BackendIndex add(const Registration &info);
-  /// Assigns the address of the registration to this server, or contests it.
-  /// Returns false if the registration of the address's owner is certainly
-  /// newer.
-  bool takeAddress(BackendIndex i, Time now);
-  /// Marks the servers as gone that contest the server's address and are
-  /// certainly older.
-  void endOlderClaims(BackendIndex i, Time now);
-  /// Assigns the address of a server to one that contests it.
-  void passOnAddress(BackendIndex i);
-  bool contests(BackendIndex i, Address where) const;
+  BackendIndex add(const Registration &info, Time now);
+  /// Replaces the registration of a server. Returns true if its state changed.
+  bool replaceRegistration(BackendIndex i, const Registration &info, Time now);
+  /// What a registration says of the claim to its address.
+  enum class Claim : uint8_t {
+    Same,     ///< The claim that the server makes already.
+    Returned, ///< The claim of a registration that had ended.
+    First,    ///< The first registration of the server.
+    Moved     ///< A known server has a new address or a new process.
+  };
+  /// Adds the server to the claimants of its address.
+  void claimAddress(BackendIndex i, Claim kind, Time now);
+  /// Returns true if the server's claim is more likely than that of `owner`.
+  bool isLikelierOwner(BackendIndex i, BackendIndex owner, Claim kind,
+                       Time now) const;
+  /// Returns true if another claimant has answered since the server's claim was
+  /// learned.
+  bool hasEndedByAnswer(BackendIndex i) const;
+  bool makesClaim(const Registration &info) const;
+  bool isClaimant(BackendIndex i) const;
+  /// Removes the server from the claimants of its address.
+  void removeClaim(BackendIndex i, Time now);
+  /// Returns the likely owner of an address, or `NoBackend`.
+  BackendIndex ownerOf(Address where) const;
+  /// Makes the claimant with the newest registration the likely owner.
+  void passAddressOn(Address where);
+  void updateContested(Address where);
   void setContested(BackendIndex i, bool contested);
-  /// Marks a server as gone because its address belongs to another one.
+  /// Brings back the replaced servers of an address that has no owner any more.
+  void reinstateAt(Address where, Time now);
+  /// Marks a server as gone because another one has answered at its address.
   void markReplaced(BackendIndex i, Time now);
+  /// Marks a server as gone because its registration has ended.
+  void markEnded(BackendIndex i, Time now);
   void markGone(BackendIndex i, Time now);
   void resetObservations(BackendIndex i);
   void remove(BackendIndex i);
@@ -258,11 +298,8 @@
   std::unordered_map<uint64_t, BackendIndex> ById;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByToken;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByService;
-  /// The owner of each address: the server with the newest registration, as far
-  /// as that is known.
-  std::unordered_map<uint64_t, BackendIndex> ByAddress;
-  /// The servers with `AddressContested`.
-  std::vector<BackendIndex> Contested;
+  AddressClaims Claims;
+  std::vector<BackendIndex> Reinstated;
   std::vector<BackendIndex> ContestChanges;
   DrainedZones Drained;
   std::vector<BackendIndex> Ended;
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -97,6 +97,8 @@
   uint64_t ProbesFailed = 0;
   /// Servers that got no new flows because their address was contested.
   uint64_t ContestedAddresses = 0;
+  /// Servers that were gone because another one had answered at their address.
+  uint64_t ReplacedServers = 0;
   /// Responses and requests without one, as far as they were judged.
   uint64_t WholeResponses = 0;
   uint64_t ShortResponses = 0;
@@ -187,9 +189,9 @@
   BackendIndex serverOfToken(const FlowPacket &head, Time now,
                              Reason &why) const;
   void handleUnknownToken(const FlowPacket &head, Time now, Actions &actions);
-  void trackPacket(const FlowPacket &head, BackendIndex i, Time now,
+  void trackPacket(const PacketReceived &event, BackendIndex i, Time now,
                    Actions &actions);
-  void trackData(const FlowPacket &head, FlowState &flow, Time now,
+  void trackData(const PacketReceived &event, FlowState &flow, Time now,
                  Actions &actions);
 
   BackendIndex chooseServer(const Route &route, uint64_t flowHash,
@@ -273,6 +275,8 @@
   void checkOpenings(Time now, Actions &actions);
   void resetFlowsOfRestarted(int64_t readAt, Time now, Actions &actions);
   void expireServers(bool trusted, Time now, Actions &actions);
+  void applyRegistration(const Registration &info, Time now, Actions &actions);
+  void logState(BackendIndex i, Time now, Actions &actions) const;
   void logContest(BackendIndex i, Time now, Actions &actions);
   void resetFlowsOf(BackendIndex i, Time now, Actions &actions);
   void resetFlows(const std::vector<FlowKey> &keys, Reason why, Time now,
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -21,6 +21,9 @@
 struct PacketReceived {
   FlowPacket Head;
   Bytes Raw;
+  /// The packet may have waited here for long, so it shows nothing about the
+  /// present.
+  bool MayBeOld = false;
 };
 
 /// A version of the configuration was read, from any source.
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -204,9 +204,13 @@
   scalar(out, "chicory_probes_failed_total", "counter",
          "Probes that were refused or timed out", edge.Core.ProbesFailed);
   scalar(out, "chicory_contested_addresses_total", "counter",
-         "Backend servers that got no new flows because another registration "
-         "of their address is most likely newer",
+         "Backend servers that got no new flows because another one is "
+         "registered at their address and is its likely owner",
          edge.Core.ContestedAddresses);
+  scalar(out, "chicory_replaced_servers_total", "counter",
+         "Backend servers that were found to have ended because another one "
+         "answered at their address",
+         edge.Core.ReplacedServers);
   histogram(out, "chicory_handshake_seconds",
             "Time from forwarding an opening to the caller's next packet",
             edge.Core.HandshakeTime);
--- a/lib/edge/PacketWorker.cpp
+++ b/lib/edge/PacketWorker.cpp
@@ -126,7 +126,10 @@
       ++Stats.StaleOpenings;
       continue;
     }
-    handle(token::PacketReceived{.Head = *head, .Raw = raw}, now);
+    handle(token::PacketReceived{.Head = *head,
+                                 .Raw = raw,
+                                 .MayBeOld = OpeningsMayBeStale},
+           now);
   }
   bool drained = count < static_cast<int>(SendBatch::Size);
   if (drained)
--- a/lib/token/BackendSelection.cpp
+++ b/lib/token/BackendSelection.cpp
@@ -213,6 +213,7 @@
     lasts = std::min(lasts * 2, Options.SuspectForMax);
   ++backend.Suspicions;
   backend.SuspectUntil = now + lasts;
+  Servers.yieldAddress(i);
   actions.emplace_back(Decision{.What = "backend_suspect",
                                 .Why = Reason::BackendSilent,
                                 .At = now,
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -33,7 +33,7 @@
   return Revision < other.Revision;
 }
 
-BackendIndex Backends::add(const Registration &info) {
+BackendIndex Backends::add(const Registration &info, Time now) {
   BackendIndex i = 0;
   if (Free.empty()) {
     i = indexEnd();
@@ -43,6 +43,7 @@
     Free.pop_back();
     Entries[i] = {};
   }
+  Entries[i].ClaimedAt = now;
   ById[info.Id.Value] = i;
   ByToken[tokenOf(info.Id).Value].push_back(i);
   ByService[info.Service.Value].push_back(i);
@@ -52,115 +53,231 @@
 
 bool Backends::applyRegistration(const Registration &info, Time now) {
   BackendIndex i = find(info.Id);
-  bool isNew = i == NoBackend;
-  if (isNew)
-    i = add(info);
+  if (i == NoBackend) {
+    i = add(info, now);
+    Entries[i].Info = info;
+    Entries[i].State =
+        info.Draining ? BackendState::Draining : BackendState::Ready;
+    Entries[i].ZoneDrained = Drained.contains(info.Zone);
+    claimAddress(i, Claim::First, now);
+    return true;
+  }
+  return replaceRegistration(i, info, now);
+}
+
+bool Backends::replaceRegistration(BackendIndex i, const Registration &info,
+                                   Time now) {
   Backend &backend = Entries[i];
-  int64_t knownStart = backend.Info.StartedAtMs;
-  if (knownStart != 0 && info.StartedAtMs != 0 && info.StartedAtMs < knownStart)
+  const Registration known = backend.Info;
+  if (known.StartedAtMs != 0 && info.StartedAtMs != 0 &&
+      info.StartedAtMs < known.StartedAtMs)
     return false;
   BackendState oldState = backend.State;
-  RegistrationOrder oldOrder = backend.Info.Order;
-  if (!isNew && backend.Info.Where != info.Where)
-    passOnAddress(i);
+  bool restarted = known.StartedAtMs != 0 && info.StartedAtMs != 0 &&
+                   known.StartedAtMs != info.StartedAtMs;
+  bool moved = known.Where != info.Where || restarted;
+  bool returned = oldState == BackendState::Gone && !backend.Replaced;
+  bool lapsed = oldState == BackendState::Missing;
+  if (moved || makesClaim(known) != makesClaim(info))
+    removeClaim(i, now);
+  if (known.Service != info.Service) {
+    eraseValue(ByService[known.Service.Value], i);
+    ByService[info.Service.Value].push_back(i);
+  }
   backend.Info = info;
   // A restored registry lists an old registration in a new generation. What was
   // known about its age is the better knowledge.
-  if (!isNew && oldOrder.Revision == info.Order.Revision &&
-      oldOrder.Origin != RegistrationOrigin::Uncertain)
-    backend.Info.Order = oldOrder;
+  if (known.Order.Revision == info.Order.Revision &&
+      known.Order.Origin != RegistrationOrigin::Uncertain)
+    backend.Info.Order = known.Order;
   backend.ZoneDrained = Drained.contains(info.Zone);
   if (info.StartedAtMs == 0)
-    backend.Info.StartedAtMs = knownStart;
-  else if (knownStart != 0 && info.StartedAtMs > knownStart)
+    backend.Info.StartedAtMs = known.StartedAtMs;
+  if (restarted)
     resetObservations(i);
-  if (!takeAddress(i, now)) {
-    if (oldState != BackendState::Gone)
-      markReplaced(i, now);
-    return false;
+  if (moved) {
+    backend.ClaimedAt = now;
+    backend.AliveAfter = {};
+    backend.Replaced = false;
   }
+  claimAddress(i,
+               moved                ? Claim::Moved
+               : returned || lapsed ? Claim::Returned
+                                    : Claim::Same,
+               now);
+  if (backend.Replaced)
+    return false;
   LostConflicts.erase(i);
   // The server was considered gone but is still running.
   if (oldState == BackendState::Gone)
     ++LiveCount;
   backend.State = info.Draining ? BackendState::Draining : BackendState::Ready;
-  return isNew || oldState != backend.State;
+  return oldState != backend.State;
 }
 
-bool Backends::takeAddress(BackendIndex i, Time now) {
-  const Registration &own = Entries[i].Info;
-  auto it = ByAddress.try_emplace(own.Where.packed(), i).first;
-  BackendIndex owner = it->second;
-  const Registration &other = Entries[owner].Info;
-  bool isConflict =
-      owner != i && other.Where == own.Where && other.Order != own.Order;
-  if (isConflict && other.Order.provesNewerThan(own.Order))
-    return false;
-  if (isConflict && Entries[owner].State != BackendState::Gone) {
-    bool isOlder = own.Order < other.Order;
-    setContested(i, isOlder);
-    if (isOlder)
-      return true;
-    it->second = i;
-    if (own.Order.provesNewerThan(other.Order))
-      markReplaced(owner, now);
-    else
-      setContested(owner, true);
+/// Without a known age, nothing can be said about two registrations at one
+/// address.
+bool Backends::makesClaim(const Registration &info) const {
+  return info.Order.Revision != 0;
+}
+
+bool Backends::isClaimant(BackendIndex i) const {
+  const std::vector<BackendIndex> &claimants = Claims.of(Entries[i].Info.Where);
+  return std::ranges::find(claimants, i) != claimants.end();
+}
+
+void Backends::claimAddress(BackendIndex i, Claim kind, Time now) {
+  Backend &backend = Entries[i];
+  Address where = backend.Info.Where;
+  if (!makesClaim(backend.Info) || (kind == Claim::Same && isClaimant(i)))
+    return;
+  BackendIndex owner = ownerOf(where);
+  bool ended = hasEndedByAnswer(i);
+  bool first = owner == NoBackend || owner == i ||
+               (!ended && isLikelierOwner(i, owner, kind, now));
+  Claims.put(where, i,
+             first ? AddressClaims::Rank::First : AddressClaims::Rank::Last);
+  if (ended) {
+    if (backend.State != BackendState::Gone)
+      markReplaced(i, now);
+    else if (!std::exchange(backend.Replaced, true))
+      LostConflicts[i] = conflictOf(i);
   }
-  setContested(i, false);
-  it->second = i;
-  endOlderClaims(i, now);
-  return true;
+  updateContested(where);
 }
 
-void Backends::endOlderClaims(BackendIndex i, Time now) {
-  const Registration &own = Entries[i].Info;
-  std::vector<BackendIndex> claims = Contested;
-  for (BackendIndex it : claims)
-    if (contests(it, own.Where) &&
-        own.Order.provesNewerThan(Entries[it].Info.Order))
-      markReplaced(it, now);
+bool Backends::isLikelierOwner(BackendIndex i, BackendIndex owner, Claim kind,
+                               Time now) const {
+  const Backend &other = Entries[owner];
+  // The process whose registration had ended is the known one, so this may be a
+  // late write of it.
+  if (kind == Claim::Returned || kind == Claim::Same)
+    return false;
+  if (other.AliveAfter != Time{} &&
+      now - other.AliveAfter < Times.AddressUnusedFor)
+    return false;
+  // The order is that of the servers' first registrations.
+  return kind == Claim::Moved || !(Entries[i].Info.Order < other.Info.Order);
+}
+
+bool Backends::hasEndedByAnswer(BackendIndex i) const {
+  const Backend &backend = Entries[i];
+  const std::vector<BackendIndex> &claimants = Claims.of(backend.Info.Where);
+  return std::ranges::any_of(claimants, [&](BackendIndex it) {
+    const Backend &other = Entries[it];
+    // Answers of servers that share a token can't be told apart.
+    return it != i && other.State != BackendState::Gone &&
+           other.AliveAfter > backend.ClaimedAt &&
+           tokenOf(other.Info.Id) != tokenOf(backend.Info.Id);
+  });
 }
 
-bool Backends::contests(BackendIndex i, Address where) const {
-  return Entries[i].AddressContested && Entries[i].Info.Where == where;
+void Backends::recordAnswer(BackendIndex i, Time sentAt, Time now) {
+  Backend &backend = Entries[i];
+  Address where = backend.Info.Where;
+  backend.AliveAfter = std::max(backend.AliveAfter, sentAt);
+  if (Claims.of(where).size() < 2 || !isClaimant(i) ||
+      backend.State == BackendState::Gone)
+    return;
+  if (backend.AliveAfter > Entries[ownerOf(where)].ClaimedAt)
+    Claims.put(where, i, AddressClaims::Rank::First);
+  const std::vector<BackendIndex> claimants = Claims.of(where);
+  for (BackendIndex it : claimants)
+    if (it != i && Entries[it].State != BackendState::Gone &&
+        hasEndedByAnswer(it))
+      markReplaced(it, now);
+  updateContested(where);
 }
 
-void Backends::passOnAddress(BackendIndex i) {
+void Backends::yieldAddress(BackendIndex i) {
   Address where = Entries[i].Info.Where;
-  auto address = ByAddress.find(where.packed());
-  if (address == ByAddress.end() || address->second != i)
+  const std::vector<BackendIndex> &claimants = Claims.of(where);
+  auto next = std::ranges::find_if(claimants, [&](BackendIndex it) {
+    return it != i && Entries[it].State == BackendState::Ready;
+  });
+  if (next == claimants.end() || ownerOf(where) != i)
     return;
+  Claims.put(where, *next, AddressClaims::Rank::First);
+  Claims.put(where, i, AddressClaims::Rank::Last);
+  updateContested(where);
+}
+
+void Backends::removeClaim(BackendIndex i, Time now) {
+  Address where = Entries[i].Info.Where;
+  bool wasOwner = ownerOf(where) == i;
+  Claims.remove(where, i);
+  setContested(i, false);
+  if (ownerOf(where) == NoBackend)
+    reinstateAt(where, now);
+  if (wasOwner)
+    passAddressOn(where);
+  updateContested(where);
+}
+
+void Backends::passAddressOn(Address where) {
   BackendIndex newest = NoBackend;
-  for (BackendIndex it : Contested)
-    if (contests(it, where) &&
+  for (BackendIndex it : Claims.of(where))
+    if (!Entries[it].Replaced &&
         (newest == NoBackend ||
          Entries[newest].Info.Order < Entries[it].Info.Order))
       newest = it;
-  if (newest == NoBackend)
-    return;
-  address->second = newest;
-  setContested(newest, false);
+  if (newest != NoBackend)
+    Claims.put(where, newest, AddressClaims::Rank::First);
+}
+
+BackendIndex Backends::ownerOf(Address where) const {
+  const std::vector<BackendIndex> &claimants = Claims.of(where);
+  auto it = std::ranges::find_if(
+      claimants, [&](BackendIndex i) { return !Entries[i].Replaced; });
+  return it == claimants.end() ? NoBackend : *it;
+}
+
+void Backends::updateContested(Address where) {
+  BackendIndex owner = ownerOf(where);
+  for (BackendIndex it : Claims.of(where))
+    setContested(it, it != owner && !Entries[it].Replaced);
 }
 
 void Backends::setContested(BackendIndex i, bool contested) {
-  if (std::exchange(Entries[i].AddressContested, contested) == contested)
-    return;
-  if (contested)
-    Contested.push_back(i);
-  else
-    eraseValue(Contested, i);
-  ContestChanges.push_back(i);
+  if (std::exchange(Entries[i].AddressContested, contested) != contested)
+    ContestChanges.push_back(i);
+}
+
+void Backends::reinstateAt(Address where, Time now) {
+  const std::vector<BackendIndex> claimants = Claims.of(where);
+  for (BackendIndex it : claimants) {
+    Backend &backend = Entries[it];
+    backend.Replaced = false;
+    backend.ClaimedAt = now;
+    backend.State =
+        backend.Info.Draining ? BackendState::Draining : BackendState::Ready;
+    ++LiveCount;
+    LostConflicts.erase(it);
+    Reinstated.push_back(it);
+  }
 }
 
 void Backends::markReplaced(BackendIndex i, Time now) {
   LostConflicts[i] = conflictOf(i);
+  Entries[i].Replaced = true;
+  markGone(i, now);
+}
+
+void Backends::markEnded(BackendIndex i, Time now) {
   markGone(i, now);
+  removeClaim(i, now);
+}
+
+void Backends::markGone(BackendIndex i, Time now) {
+  Entries[i].State = BackendState::Gone;
+  Entries[i].LostAt = now;
+  --LiveCount;
+  Ended.push_back(i);
 }
 
 AddressConflict Backends::conflictOf(BackendIndex i) const {
   const Registration &own = Entries[i].Info;
-  const Registration &other = Entries[ByAddress.at(own.Where.packed())].Info;
+  const Registration &other = Entries[ownerOf(own.Where)].Info;
   return {.Where = own.Where,
           .Order = own.Order,
           .Other = other.Id,
@@ -172,20 +289,16 @@
   return it == LostConflicts.end() ? nullptr : &it->second;
 }
 
-void Backends::markGone(BackendIndex i, Time now) {
-  Entries[i].State = BackendState::Gone;
-  Entries[i].LostAt = now;
-  --LiveCount;
-  Ended.push_back(i);
-  setContested(i, false);
-  passOnAddress(i);
-}
-
 bool Backends::markMissing(BackendId id, Time now) {
   BackendIndex i = find(id);
   if (i == NoBackend)
     return false;
   Backend &backend = Entries[i];
+  if (backend.Replaced) {
+    removeClaim(i, now);
+    backend.Replaced = false;
+    backend.LostAt = now;
+  }
   if (backend.State == BackendState::Gone ||
       backend.State == BackendState::Missing)
     return false;
@@ -234,8 +347,8 @@
     if (backend.Info.Id.Value == 0)
       continue;
     if (backend.State == BackendState::Missing && trusted) {
-      markGone(i, now);
-    } else if (backend.State == BackendState::Gone &&
+      markEnded(i, now);
+    } else if (backend.State == BackendState::Gone && !backend.Replaced &&
                now - backend.LostAt > Times.GoneRetention) {
       remove(i);
     }
@@ -246,9 +359,7 @@
 void Backends::remove(BackendIndex i) {
   const Registration &info = Entries[i].Info;
   ById.erase(info.Id.Value);
-  auto address = ByAddress.find(info.Where.packed());
-  if (address != ByAddress.end() && address->second == i)
-    ByAddress.erase(address);
+  Claims.remove(info.Where, i);
   eraseValue(ByToken[tokenOf(info.Id).Value], i);
   eraseValue(ByService[info.Service.Value], i);
   LostConflicts.erase(i);
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -172,7 +172,7 @@
   if (resetIfUnreachable(head, i, now, actions))
     return;
   send(i, event.Raw, actions);
-  trackPacket(head, i, now, actions);
+  trackPacket(event, i, now, actions);
 }
 
 /// Handles a token that no known server has. The token may be newer than the
@@ -235,13 +235,8 @@
 }
 
 void Core::on(const BackendsLearned &event, Time now, Actions &actions) {
-  for (const Registration &it : event.Present) {
-    if (Servers.applyRegistration(it, now))
-      addDecision({.What = it.Draining ? "backend_draining" : "backend_ready",
-                   .Backend = it.Id},
-                  now, actions);
-    WarmUps.onRegistered(Servers.at(Servers.find(it.Id)), now);
-  }
+  for (const Registration &it : event.Present)
+    applyRegistration(it, now, actions);
   for (BackendId it : event.Ended)
     if (Servers.markMissing(it, now))
       addDecision({.What = "backend_missing", .Backend = it}, now, actions);
@@ -253,6 +248,23 @@
   expireServers(false, now, actions);
 }
 
+void Core::applyRegistration(const Registration &info, Time now,
+                             Actions &actions) {
+  bool changed = Servers.applyRegistration(info, now);
+  BackendIndex i = Servers.find(info.Id);
+  if (changed)
+    logState(i, now, actions);
+  WarmUps.onRegistered(Servers.at(i), now);
+}
+
+void Core::logState(BackendIndex i, Time now, Actions &actions) const {
+  const Backend &backend = Servers.at(i);
+  bool draining = backend.State == BackendState::Draining;
+  addDecision({.What = draining ? "backend_draining" : "backend_ready",
+               .Backend = backend.Info.Id},
+              now, actions);
+}
+
 void Core::on(const ZoneDrainLearned &event, Time now, Actions &actions) {
   if (!Servers.drainZone(event.Zone, event.Active, now))
     return;
@@ -348,14 +360,21 @@
 
 void Core::expireServers(bool trusted, Time now, Actions &actions) {
   std::vector<BackendIndex> ended = Servers.expire(trusted, now);
+  for (BackendIndex it : Servers.takeReinstated())
+    logState(it, now, actions);
   for (BackendIndex it : Servers.takeContested())
     logContest(it, now, actions);
   for (BackendIndex it : ended) {
+    // It is back already.
+    if (Servers.at(it).State != BackendState::Gone)
+      continue;
     Decision gone{.What = "backend_gone", .Backend = Servers.at(it).Info.Id};
     const AddressConflict *conflict = Servers.lostConflict(it);
     gone.Cause = conflict ? "address_taken" : "registration_ended";
-    if (conflict)
+    if (conflict) {
       gone.Conflict = *conflict;
+      ++Stats.ReplacedServers;
+    }
     addDecision(gone, now, actions);
     if (Options.Enabled.GoneResets)
       resetFlowsOf(it, now, actions);
@@ -374,8 +393,12 @@
 }
 
 void Core::resetFlowsOf(BackendIndex i, Time now, Actions &actions) {
+  // An opening that was also sent to another server may have opened the flow
+  // there.
   std::vector<FlowKey> ended =
-      flowsOf(i, [](const FlowKey &, const FlowState &) { return true; });
+      flowsOf(i, [](const FlowKey &, const FlowState &flow) {
+        return !flow.Opening || flow.AlsoSentTo.Value == 0;
+      });
   resetFlows(ended, Reason::BackendGone, now, actions);
 }
 
--- a/lib/token/FlowTracking.cpp
+++ b/lib/token/FlowTracking.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-void Core::trackPacket(const FlowPacket &head, BackendIndex i, Time now,
+void Core::trackPacket(const PacketReceived &event, BackendIndex i, Time now,
                        Actions &actions) {
+  const FlowPacket &head = event.Head;
   FlowKey key = head.key();
   if (head.Finish || head.Reset) {
     if (FlowState *flow = flowOf(key); flow && head.Finish) {
@@ -43,15 +44,18 @@
       Stats.HandshakeTime.add(took);
       recordRoundTrip(Servers.at(i).Info.Zone, took);
       recordProgress(i, now);
+      if (!event.MayBeOld)
+        Servers.recordAnswer(i, flow.FirstSeen, now);
     }
     flow.LastAcknowledged = head.Acknowledged;
   }
-  trackData(head, flow, now, actions);
+  trackData(event, flow, now, actions);
   flow.LastAcknowledged = head.Acknowledged;
 }
 
-void Core::trackData(const FlowPacket &head, FlowState &flow, Time now,
+void Core::trackData(const PacketReceived &event, FlowState &flow, Time now,
                      Actions &actions) {
+  const FlowPacket &head = event.Head;
   trackResponse(head, flow, now, actions);
   bool answered = head.Acknowledged != flow.LastAcknowledged;
   // A packet with data may acknowledge the end of an answer that arrived long
@@ -61,6 +65,11 @@
   Backend &backend = Servers.at(flow.Backend);
   if (head.DataBytes == 0) {
     if (answered && flow.RequestInProgress) {
+      // A packet that was overtaken acknowledges less than the one before.
+      bool advances =
+          static_cast<int32_t>(head.Acknowledged - flow.LastAcknowledged) > 0;
+      if (advances && !event.MayBeOld)
+        Servers.recordAnswer(flow.Backend, flow.RequestSince, now);
       endRequest(flow);
       Duration took = now - flow.RequestSince;
       ResponseTime += (took - ResponseTime) / SmoothingDivisor;
--- a/tests/TokenCoreTest.cpp
+++ b/tests/TokenCoreTest.cpp
@@ -41,6 +41,10 @@
   CPPUNIT_TEST(ignoresImplausibleClocks);
   CPPUNIT_TEST(sendsNoNewFlowsToAServerWithAnUnreadableRegistration);
   CPPUNIT_TEST(sendsNoNewFlowsToTheFormerOwnerOfAnAddress);
+  CPPUNIT_TEST(keepsFlowsWhenAnEndedServerRegistersLate);
+  CPPUNIT_TEST(resetsFlowsOfAServerWhoseAddressAnswersForAnother);
+  CPPUNIT_TEST(triesTheServersOfAnAddressInTurn);
+  CPPUNIT_TEST(learnsNothingFromOldPackets);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against new flows that are lost at a server which has ended, and
@@ -84,6 +88,115 @@
     }
   }
 
+  static Registration serverAt(Registration info, const Registration &where,
+                               uint64_t revision) {
+    info.Where = where.Where;
+    info.Order.Revision = revision;
+    return info;
+  }
+  /// Opens a flow at a server, with an answered handshake.
+  static Caller openFlowAt(Instance &instance, BackendId server,
+                           Caller caller = {}) {
+    expectEqual<uint64_t>(server.Value, sentTo(instance.packet(caller.open())));
+    instance.Now += 5ms;
+    caller.Echo = tokenOf(server);
+    instance.packet(caller.ack());
+    return caller;
+  }
+  static BackendState stateOf(const Instance &instance, uint64_t id) {
+    const Backends &servers = instance.UnderTest.backends();
+    return servers.at(servers.find(BackendId{id})).State;
+  }
+
+  // Guards against resets of the open flows of a running server, which then
+  // gets no new ones any more, when the registry executes the last write of the
+  // former owner of its address seconds late; also on instances that started
+  // since, and when the late registration has lapsed.
+  void keepsFlowsWhenAnEndedServerRegistersLate() {
+    for (bool isKnown : {true, false}) {
+      Instance instance;
+      Registration running = serverAt(server(2), server(2), 9);
+      Registration ended = serverAt(server(1, Certificates), running, 5);
+      if (isKnown) {
+        instance.configure({ended});
+        instance.pass(4s);
+        instance.handle(BackendsLearned{.Ended = {ended.Id}});
+        instance.pass(1s);
+      }
+      instance.configure({running});
+      instance.pass(3s);
+      Caller caller = openFlowAt(instance, running.Id);
+      instance.pass(2s);
+      ended.Order.Revision = 12;
+      instance.handle(BackendsLearned{.Present = {ended}});
+      expectTrue(filter<ResetFlow>(instance.pass(1s)).empty(), "no reset");
+      expectEqual<uint64_t>(2, sentTo(instance.packet(caller.data(1))));
+      instance.Now += 20ms;
+      instance.packet(caller.ack(2));
+      expectTrue(filter<ResetFlow>(instance.pass(1s)).empty(), "no reset");
+      expectTrue(stateOf(instance, 1) == BackendState::Gone,
+                 "the answer shows which one has ended");
+      openFlowAt(instance, running.Id, {.Port = 2000});
+      section("the late registration lapses", [&] {
+        instance.handle(BackendsLearned{.Ended = {ended.Id}});
+        expectTrue(filter<ResetFlow>(instance.pass(5s)).empty(), "no reset");
+        openFlowAt(instance, running.Id, {.Port = 2001});
+        expectEqual<uint64_t>(2, sentTo(instance.packet(caller.data(101, 2))));
+      });
+    }
+  }
+
+  // Guards against callers that wait at a server which has ended until its
+  // registration expires, while another server has its address.
+  void resetsFlowsOfAServerWhoseAddressAnswersForAnother() {
+    Instance instance;
+    Registration former = serverAt(server(1), server(1), 5);
+    instance.configure({former});
+    openFlowAt(instance, former.Id);
+    instance.pass(3s);
+    Registration next = serverAt(server(2, Certificates), former, 9);
+    instance.handle(BackendsLearned{.Present = {next}});
+    expectTrue(filter<ResetFlow>(instance.pass(500ms)).empty(),
+               "a registration proves nothing");
+    openFlowAt(instance, next.Id, {.Port = 2000, .Route = Papers});
+    auto resets = filter<ResetFlow>(instance.pass(500ms));
+    expectEqual<size_t>(1, resets.size());
+    expectTrue(resets[0].Why == Reason::BackendGone, "its server has ended");
+    expectEqual<uint64_t>(1, instance.UnderTest.stats().ReplacedServers);
+  }
+
+  // Guards against a running server without new flows while a registration that
+  // is never answered for stands at its address.
+  void triesTheServersOfAnAddressInTurn() {
+    Instance instance;
+    Registration running = serverAt(server(2), server(2), 9);
+    instance.configure({running, serverAt(server(1), running, 12)});
+    uint16_t port = 2000;
+    for (; port < 2010; ++port) {
+      if (sentTo(instance.packet(Caller{.Port = port}.open())) == 2)
+        break;
+      instance.pass(50ms);
+    }
+    expectTrue(port < 2005, "the other one after two silent openings");
+  }
+
+  // Guards against evidence from packets that waited in the socket: what looks
+  // like an answer is from before its server ended.
+  void learnsNothingFromOldPackets() {
+    Instance instance;
+    Registration running = serverAt(server(2), server(2), 9);
+    instance.configure({running, serverAt(server(1), running, 5)});
+    Caller caller;
+    instance.packet(caller.open());
+    instance.Now += 5ms;
+    caller.Echo = tokenOf(running.Id);
+    instance.handle(PacketReceived{
+        .Head = caller.ack(), .Raw = instance.Raw, .MayBeOld = true});
+    instance.pass(1s);
+    expectTrue(stateOf(instance, 1) == BackendState::Ready,
+               "nothing is proven");
+  }
+
   void forwardsAFlowAtAnyInstance() {
     Instance opener;
     Instance other;
