An entry of a service that is not configured claims no address

Callers: open flows were reset, and the server got no new ones, after another program had written an entry with the server's address.

Cause: the entry's service may be any text, so it became a server, and as the newer registration it ended the running one. Ruled out: the entry overwrites the server's own (other key, no backend_unreadable).

Change: Backends::setNamedServices. A registration claims its address while the configuration names its service, in a route or in its list of services; it is kept, so a server that registers first serves as soon as its service is named. Weighed: refusing the entry when it is read would lose those, and the flows of a service that a new configuration no longer names.

--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -176,13 +177,16 @@
   /// registration proves neither that its server is running nor that an earlier
   /// one at its address has ended. Of several servers at one address all keep
   /// their flows, the likely owner alone gets new ones, and `recordAnswer`
-  /// decides.
+  /// decides. A server whose service is not named by the operators makes no
+  /// claim to its address.
   ///
   /// A registration of a process that started before the known one arrived late
   /// and changes nothing. If the process started later, the server has
   /// restarted: all observations of it are discarded, and `takeRestarted`
   /// returns it.
   bool applyRegistration(const Registration &info, Time now);
+  /// Sets the services that the operators name. Until the first call, all are.
+  void setNamedServices(std::unordered_set<uint32_t> services, Time now);
   /// Records that a server has answered something that was sent to it at
   /// `sentAt`.
   ///
@@ -299,6 +303,7 @@
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByToken;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByService;
   AddressClaims Claims;
+  std::optional<std::unordered_set<uint32_t>> NamedServices;
   std::vector<BackendIndex> Reinstated;
   std::vector<BackendIndex> ContestChanges;
   DrainedZones Drained;
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -277,6 +277,7 @@
   void expireServers(bool trusted, Time now, Actions &actions);
   void applyRegistration(const Registration &info, Time now, Actions &actions);
   void logState(BackendIndex i, Time now, Actions &actions) const;
+  void updateNamedServices(const RouteSet &routes, Time now, Actions &actions);
   void logContest(BackendIndex i, Time now, Actions &actions);
   void resetFlowsOf(BackendIndex i, Time now, Actions &actions);
   void resetFlows(const std::vector<FlowKey> &keys, Reason why, Time now,
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -115,10 +115,27 @@
   return oldState != backend.State;
 }
 
+void Backends::setNamedServices(std::unordered_set<uint32_t> services,
+                                Time now) {
+  if (NamedServices == services)
+    return;
+  NamedServices = std::move(services);
+  for (BackendIndex i = 0; i < indexEnd(); ++i) {
+    const Backend &backend = Entries[i];
+    if (backend.Info.Id.Value == 0 || backend.State == BackendState::Gone)
+      continue;
+    if (!makesClaim(backend.Info))
+      removeClaim(i, now);
+    else if (!isClaimant(i))
+      claimAddress(i, Claim::First, now);
+  }
+}
+
 /// Without a known age, nothing can be said about two registrations at one
 /// address.
 bool Backends::makesClaim(const Registration &info) const {
-  return info.Order.Revision != 0;
+  return info.Order.Revision != 0 &&
+         (!NamedServices || NamedServices->contains(info.Service.Value));
 }
 
 bool Backends::isClaimant(BackendIndex i) const {
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -1,6 +1,7 @@
 #include "chicorybank/token/Core.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace chicory::token {
 
@@ -225,6 +226,7 @@
     return;
   WarmUps.setServices(event.Routes.WarmUps);
   updatePriorities(event.Routes);
+  updateNamedServices(event.Routes, now, actions);
   if (auto age = updateAge(now))
     Stats.RoutesAge.add(*age);
   addDecision({.What = "routes_in_force"}, now, actions);
@@ -265,6 +267,20 @@
               now, actions);
 }
 
+/// Without this, an entry of another program at the address of a running server
+/// would take its new flows, though no route leads to that entry's service.
+void Core::updateNamedServices(const RouteSet &routes, Time now,
+                               Actions &actions) {
+  std::unordered_set<uint32_t> named;
+  for (const Route &route : routes.Routes)
+    for (const WeightedService &it : route.Services)
+      named.insert(it.Service.Value);
+  for (const ServiceWarmUp &it : routes.WarmUps)
+    named.insert(it.Service.Value);
+  Servers.setNamedServices(std::move(named), now);
+  expireServers(false, now, actions);
+}
+
 void Core::on(const ZoneDrainLearned &event, Time now, Actions &actions) {
   if (!Servers.drainZone(event.Zone, event.Active, now))
     return;
--- a/tests/BackendsTest.cpp
+++ b/tests/BackendsTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(detectsSharedTokens);
   CPPUNIT_TEST(endsTheEarlierOwnerOfAnAddressOnceTheNewOneAnswers);
   CPPUNIT_TEST(keepsARunningServerWhenAnEndedOneRegistersLate);
+  CPPUNIT_TEST(keepsARunningServerBesideAnotherWritersEntry);
   CPPUNIT_TEST(usesAKnownServerAtTheAddressOfAnEndedOne);
   CPPUNIT_TEST(keepsAServerThatChangedItsAddress);
   CPPUNIT_TEST(keepsTheNewerOwnerOfAnAddressAfterARestore);
@@ -282,6 +283,35 @@
     });
   }
 
+  // Guards against resets of the flows of a running server whose address stands
+  // in an entry of another program, with a service that no one has configured.
+  void keepsARunningServerBesideAnotherWritersEntry() {
+    Registration foreign = registrationAt(1, 12);
+    foreign.Service = ServiceId{77};
+    Backends list({});
+    list.setNamedServices({Records.Value}, Start);
+    list.applyRegistration(registrationAt(2, 9), Start);
+    list.applyRegistration(foreign, Start + 1s);
+    expectTrue(list.expire(true, Start + 1s).empty(), "none has ended");
+    expectTrue(backend(list, 2).acceptsNewFlows(), "it gets new flows");
+    expectTrue(list.takeContested().empty(), "nothing is contested");
+    section("its service is configured later", [&] {
+      list.setNamedServices({Records.Value, 77}, Start + 2s);
+      expectTrue(list.expire(true, Start + 2s).empty(), "none has ended");
+      answer(list, 2, Start + 3s);
+      expectTrue(backend(list, 2).acceptsNewFlows(), "it gets new flows");
+      expectTrue(backend(list, 1).State == BackendState::Gone, "proven");
+    });
+    section("a server that registers before its service is configured", [] {
+      Backends early({});
+      early.setNamedServices({5}, Start);
+      early.applyRegistration(registrationAt(2, 9), Start);
+      expectTrue(backend(early, 2).State == BackendState::Ready, "it is known");
+      early.setNamedServices({5, Records.Value}, Start);
+      expectTrue(backend(early, 2).acceptsNewFlows(), "it gets new flows");
+    });
+  }
+
   // Guards against a running server that gets no flows, and whose open ones are
   // reset, because it has started again at the address of a server that ended:
   // its registration is the older one of the two.
--- a/tests/TokenCoreTest.cpp
+++ b/tests/TokenCoreTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(sendsNoNewFlowsToAServerWithAnUnreadableRegistration);
   CPPUNIT_TEST(sendsNoNewFlowsToTheFormerOwnerOfAnAddress);
   CPPUNIT_TEST(keepsFlowsWhenAnEndedServerRegistersLate);
+  CPPUNIT_TEST(keepsFlowsBesideAnotherWritersEntry);
   CPPUNIT_TEST(resetsFlowsOfAServerWhoseAddressAnswersForAnother);
   CPPUNIT_TEST(triesTheServersOfAnAddressInTurn);
   CPPUNIT_TEST(learnsNothingFromOldPackets);
@@ -146,6 +147,23 @@
     }
   }
 
+  // Guards against resets of the flows of a running server because another
+  // program has written an entry with its address, of a service that no route
+  // leads to.
+  void keepsFlowsBesideAnotherWritersEntry() {
+    Instance instance;
+    Registration running = serverAt(server(2), server(2), 9);
+    instance.configure({running});
+    Caller caller = openFlowAt(instance, running.Id);
+    instance.pass(5s);
+    instance.handle(BackendsLearned{
+        .Present = {serverAt(server(3, ServiceId{77}), running, 12)}});
+    expectTrue(filter<ResetFlow>(instance.pass(5s)).empty(), "no reset");
+    expectEqual<uint64_t>(2, sentTo(instance.packet(caller.data(1))));
+    openFlowAt(instance, running.Id, {.Port = 2000});
+    expectEqual<uint64_t>(0, instance.UnderTest.stats().ContestedAddresses);
+  }
+
   // Guards against callers that wait at a server which has ended until its
   // registration expires, while another server has its address.
   void resetsFlowsOfAServerWhoseAddressAnswersForAnother() {
