Drop openings whose callers have sent the next copy

Callers: after an instance had been stopped by a signal for seconds, open flows were reset by servers that do not hold them.

Cause: a signal ends epoll_wait with EINTR. PacketWorker::run then counted an iteration before the packets that waited were read, so SuspensionDetector saw no gap and all old openings were forwarded, to servers of this instance's choice, while their copies had opened the flows elsewhere. Ruled out: the threshold (0.65 s), moved openings (no opening_moved).

Change: the gap is checked after each wait, and the core hears of it at once (ProcessResumed); it told suspensions by the steady clock, which stands still while a machine is suspended, and would have sent openings from before again. The kernel records when each datagram arrives, and an opening is dropped once its caller has sent the next copy (200, 400, 800 ms, less 50 ms), whatever it waited for. Packets that waited count as no evidence of a server's life. Weighed: the gap alone misses stops of less than 0.65 s, after which copies may have gone elsewhere; recorded times alone are wrong after a jump of the wall clock. Where the kernel records none, the gap decides.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -180,6 +180,7 @@
   void on(const ProbeEnded &event, Time now, Actions &actions);
   void on(const BackendReportedUnreachable &event, Time now, Actions &actions);
   void on(const BackendHealthReported &event, Time now, Actions &actions);
+  void on(const ProcessResumed &event, Time now, Actions &actions);
   void on(const Tick &event, Time now, Actions &actions);
 
   void openFlow(const PacketReceived &event, Time now, Actions &actions);
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -109,14 +109,17 @@
   HealthChange Change = HealthChange::None;
 };
 
+/// The process, or its machine, was suspended until now.
+struct ProcessResumed {};
+
 /// Advances timers; see `Core::nextTick` for when it is due.
 struct Tick {};
 
-using Event =
-    std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
-                 BackendsLearned, ZoneDrainLearned, InstancesLearned,
-                 BackendsComplete, FreshnessUpdated, BoundsChanged, ProbeEnded,
-                 BackendReportedUnreachable, BackendHealthReported, Tick>;
+using Event = std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
+                           BackendsLearned, ZoneDrainLearned, InstancesLearned,
+                           BackendsComplete, FreshnessUpdated, BoundsChanged,
+                           ProbeEnded, BackendReportedUnreachable,
+                           BackendHealthReported, ProcessResumed, Tick>;
 
 /// Send the packet to a backend server, with this token written into it.
 struct Forward {
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -227,7 +227,8 @@
   scalar(out, "chicory_bad_packets_total", "counter",
          "Datagrams from callers that can't be parsed", edge.BadPackets);
   scalar(out, "chicory_old_openings_total", "counter",
-         "Openings dropped because they waited while the process was suspended",
+         "Openings dropped because they had waited until the next copy, or "
+         "while the process was suspended",
          edge.StaleOpenings);
   scalar(out, "chicory_send_failures_total", "counter",
          "Datagrams that the system failed to send", edge.SendFailures);
--- a/lib/edge/PacketWorker.cpp
+++ b/lib/edge/PacketWorker.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <sys/epoll.h>
+#include <utility>
 
 namespace chicory::edge {
 
@@ -14,6 +15,8 @@
 // scheduled late. A longer iteration means that the process or its machine was
 // suspended.
 constexpr Duration MaxIteration = std::chrono::milliseconds(650);
+// A packet that waited for longer shows nothing about the present.
+constexpr Duration MaxFreshWait = std::chrono::milliseconds(150);
 // The maximum age of the state that metrics and readiness probes read.
 constexpr Duration PublishInterval = std::chrono::milliseconds(250);
 
@@ -64,6 +67,7 @@
                       settings.Core.Enabled.OverloadReadiness),
       HoldPackets(settings.Core.Enabled.HoldAtStart) {
   State.PacketWakeup.attach(Events);
+  enableArrivalTimes(Packets.get());
 }
 
 /// Starts to read packets once routes are known or `HoldUntil` has passed.
@@ -88,6 +92,9 @@
     Time next = std::min({Core.nextTick(now), PublishAt, Probes.nextAt()});
     Events.wait(std::max(next - now, Duration::zero()));
     now = steadyNow();
+    // A wait that a signal interrupts ends without an event.
+    if (checkSuspension(now) && Reading)
+      readPackets();
     Suspension.recordIteration(bootTimeNow());
     applyUpdates(now);
     startReading(now);
@@ -98,6 +105,14 @@
   }
 }
 
+bool PacketWorker::checkSuspension(Time now) {
+  if (!Suspension.wasSuspended(bootTimeNow()))
+    return false;
+  if (!std::exchange(PacketsMayBeOld, true))
+    handle(token::ProcessResumed{}, now);
+  return true;
+}
+
 void PacketWorker::readPackets() {
   std::array<iovec, SendBatch::Size> vectors{};
   std::array<mmsghdr, SendBatch::Size> messages{};
@@ -106,12 +121,13 @@
                   .iov_len = Received[n].size()};
     messages[n].msg_hdr.msg_iov = &vectors[n];
     messages[n].msg_hdr.msg_iovlen = 1;
+    messages[n].msg_hdr.msg_control = ArrivalTimes[n].Bytes;
+    messages[n].msg_hdr.msg_controllen = sizeof(ArrivalTimes[n].Bytes);
   }
   int count = ::recvmmsg(Packets.get(), messages.data(), SendBatch::Size,
                          MSG_DONTWAIT, nullptr);
   Time now = steadyNow();
-  if (Suspension.wasSuspended(bootTimeNow()))
-    OpeningsMayBeStale = true;
+  checkSuspension(now);
   for (int n = 0; n < count; ++n) {
     token::Bytes raw(Received[n].data(), messages[n].msg_len);
     auto head = Format.read(raw);
@@ -119,21 +135,24 @@
       ++Stats.BadPackets;
       continue;
     }
+    Duration waited =
+        waitingTime(messages[n].msg_hdr).value_or(Duration::zero());
     // The caller may have sent this opening again, through another instance.
     // Forwarding this copy could open the flow at a second server, which the
     // flow's token would then name. A caller that still waits retransmits it.
-    if (OpeningsMayBeStale && head->Open) {
+    if (head->Open &&
+        (PacketsMayBeOld || isSuperseded(head->OpenCopy, waited))) {
       ++Stats.StaleOpenings;
       continue;
     }
-    handle(token::PacketReceived{.Head = *head,
-                                 .Raw = raw,
-                                 .MayBeOld = OpeningsMayBeStale},
-           now);
+    bool mayBeOld = PacketsMayBeOld || waited >= MaxFreshWait;
+    handle(
+        token::PacketReceived{.Head = *head, .Raw = raw, .MayBeOld = mayBeOld},
+        now);
   }
   bool drained = count < static_cast<int>(SendBatch::Size);
   if (drained)
-    OpeningsMayBeStale = false;
+    PacketsMayBeOld = false;
   Overload.recordRead(drained, now);
   Batch.flush();
   Stats.BatchTime.add(steadyNow() - now);
--- a/lib/edge/PacketWorker.h
+++ b/lib/edge/PacketWorker.h
@@ -4,6 +4,7 @@
 #ifndef CHICORYBANK_LIB_EDGE_PACKETWORKER_H
 #define CHICORYBANK_LIB_EDGE_PACKETWORKER_H
 
+#include "ArrivalTime.h"
 #include "BackendProber.h"
 #include "SharedState.h"
 #include "SuspensionDetector.h"
@@ -51,6 +52,8 @@
 
 private:
   void startReading(Time now);
+  /// Returns true if the process was suspended since the last iteration.
+  bool checkSuspension(Time now);
   void readPackets();
   void applyUpdates(Time now);
   void tick(Time now);
@@ -70,6 +73,7 @@
   BackendProber Probes;
   std::array<std::array<std::byte, Framing::MaxDatagram>, SendBatch::Size>
       Received;
+  std::array<ArrivalTimeBuffer, SendBatch::Size> ArrivalTimes{};
   EdgeStats Stats;
   Time PublishAt;
   /// Until when packets may wait for the first registry updates.
@@ -81,8 +85,8 @@
   bool ReportsOverload;
   /// Whether packets wait for the first registry updates.
   bool HoldPackets;
-  /// Openings in the socket may be from before a suspension.
-  bool OpeningsMayBeStale = false;
+  /// Packets in the socket may be from before a suspension.
+  bool PacketsMayBeOld = false;
 };
 
 } // namespace chicory::edge
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -324,15 +324,20 @@
   Routes.setMaxFlowAge(event.MaxFlowAge);
 }
 
+/// Packets of callers that show answers may still wait in the socket, so
+/// nothing counts against the servers. Openings that are not answered yet are
+/// too old to be sent to another server.
+void Core::on(const ProcessResumed & /*event*/, Time now,
+              Actions & /*actions*/) {
+  Openings.clear();
+  Requests.clear();
+  ResumedAt = now;
+}
+
 void Core::on(const Tick & /*event*/, Time now, Actions &actions) {
   bool first = LastTick == Time{};
-  // Packets of callers that show answers may still wait in the socket, so
-  // nothing counts against the servers.
-  if (!first && now - LastTick > SuspendedAfter + SweepInterval) {
-    Openings.clear();
-    Requests.clear();
-    ResumedAt = now;
-  }
+  if (!first && now - LastTick > SuspendedAfter + SweepInterval)
+    on(ProcessResumed{}, now, actions);
   LastTick = now;
   checkOpenings(now, actions);
   checkRequests(now, actions);
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -9,23 +9,20 @@
 
 #include "RegistrySamples.h"
 #include "Story.h"
+#include "UdpSamples.h"
 
 #include <csignal>
 #include <fcntl.h>
 #include <httplib.h>
 #include <mutex>
-#include <poll.h>
-#include <sys/socket.h>
 #include <thread>
 
 using namespace story;
 using namespace samples::registry;
+using namespace samples::udp;
 
 namespace {
 
-constexpr uint32_t Loopback = 0x7f000001;
-constexpr int ReceiveTimeoutMs = 5000;
-
 /// A registry that serves HTTP from a thread of this process.
 class RegistryServer {
 public:
@@ -89,50 +86,8 @@
   std::thread Worker;
 };
 
-struct Datagram {
-  std::vector<std::byte> Bytes;
-};
-
-/// A UDP socket with a blocking receive.
-class Socket {
-public:
-  Socket() : Fd(std::move(*bindUdp({.Ip = Loopback, .Port = 0}))) {}
-  Address address() const { return boundAddress(Fd); }
-  void send(Address to, const std::vector<std::byte> &bytes) const {
-    sockaddr_in raw = toSockaddr(to);
-    ::sendto(Fd.get(), bytes.data(), bytes.size(), 0,
-             reinterpret_cast<sockaddr *>(&raw), sizeof(raw));
-  }
-  std::optional<Datagram> receive(int timeoutMs = ReceiveTimeoutMs) const {
-    pollfd wait{.fd = Fd.get(), .events = POLLIN};
-    if (::poll(&wait, 1, timeoutMs) <= 0)
-      return std::nullopt;
-    Datagram out{std::vector<std::byte>(2048)};
-    ssize_t n = ::recv(Fd.get(), out.Bytes.data(), out.Bytes.size(), 0);
-    out.Bytes.resize(static_cast<size_t>(n));
-    return out;
-  }
-
-private:
-  FileDescriptor Fd;
-};
-
 uint16_t freePort() { return Socket().address().Port; }
 
-std::vector<std::byte> opening(uint16_t port) {
-  std::vector<std::byte> out(32, std::byte{0});
-  auto put = [&](size_t at, uint32_t value, size_t n) {
-    for (size_t i = 0; i < n; ++i)
-      out[at + i] = static_cast<std::byte>(value >> (8 * (n - 1 - i)));
-  };
-  put(0, 0xc6120001, 4);
-  put(4, port, 2);
-  put(6, 443, 2);
-  put(8, Loopback, 4);
-  out[30] = std::byte{128};
-  return out;
-}
-
 int readyStatus(Address ready) {
   httplib::Client client("127.0.0.1", ready.Port);
   auto response = client.Get("/-/ready");
--- a/tests/TokenCoreTest.cpp
+++ b/tests/TokenCoreTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(resetsFlowsOfAServerWhoseAddressAnswersForAnother);
   CPPUNIT_TEST(triesTheServersOfAnAddressInTurn);
   CPPUNIT_TEST(learnsNothingFromOldPackets);
+  CPPUNIT_TEST(sendsNoOpeningFromBeforeASuspensionAgain);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against new flows that are lost at a server which has ended, and
@@ -215,6 +216,22 @@
                "nothing is proven");
   }
 
+  // Guards against a flow that is open at one server while its token names
+  // another: an opening from before a suspension, by a clock that stood still
+  // meanwhile, is sent to a second server.
+  void sendsNoOpeningFromBeforeASuspensionAgain() {
+    for (bool suspended : {false, true}) {
+      Instance instance;
+      instance.configure({server(1), server(2)});
+      for (uint16_t port = 2000; port < 2010; ++port)
+        instance.packet(Caller{.Port = port}.open());
+      if (suspended)
+        instance.handle(ProcessResumed{});
+      bool sentAgain = !filter<Forward>(instance.pass(150ms)).empty();
+      expectTrue(sentAgain != suspended, "only without a suspension");
+    }
+  }
+
   void forwardsAFlowAtAnyInstance() {
     Instance opener;
     Instance other;
