Tests take their ports from below those that the system hands out

Cause: the test bound a port that the system chose, closed it and had the daemon bind it later; in between the system may give it to a socket of another test, and there are more of these since the tests of the packet thread. EdgeTest did the same.

--- a/tests/DaemonTest.cpp
+++ b/tests/DaemonTest.cpp
@@ -6,39 +6,33 @@
 #include "chicorybank/base/Socket.h"
 
 #include "Story.h"
+#include "UdpSamples.h"
 
 #include <httplib.h>
 #include <sys/socket.h>
 #include <thread>
 
 using namespace story;
+using namespace samples::udp;
 using namespace chicory;
 
 namespace {
 
-constexpr uint32_t Loopback = 0x7f000001;
-
-Address freeTcp() {
-  return boundAddress(*listenTcp({.Ip = Loopback, .Port = 0}));
-}
-
-Address freeUdp() {
-  return boundAddress(*bindUdp({.Ip = Loopback, .Port = 0}));
-}
+Address freeAddress() { return {.Ip = Loopback, .Port = freePort()}; }
 
 /// Settings of a daemon whose platform does not exist.
 Settings settingsWithoutPlatform() {
   Settings out;
   out.Self = {.Id = InstanceId{1},
               .Zone = "z",
-              .Packets = freeUdp(),
-              .Peers = freeTcp(),
-              .Admin = freeTcp()};
+              .Packets = freeAddress(),
+              .Peers = freeAddress(),
+              .Admin = freeAddress()};
   out.ListenPackets = out.Self.Packets;
   out.ListenPeers = out.Self.Peers;
-  out.Fabric = freeUdp();
+  out.Fabric = freeAddress();
   out.PeerSecret = "a secret for tests only";
-  out.Platform.Servers = {freeTcp()};
+  out.Platform.Servers = {freeAddress()};
   out.Platform.SourceIp = Loopback;
   out.LogLevel = "error";
   return out;
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -86,8 +86,6 @@
   std::thread Worker;
 };
 
-uint16_t freePort() { return Socket().address().Port; }
-
 int readyStatus(Address ready) {
   httplib::Client client("127.0.0.1", ready.Port);
   auto response = client.Get("/-/ready");
--- a/tests/UdpSamples.h
+++ b/tests/UdpSamples.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <sys/socket.h>
 #include <vector>
 
@@ -43,6 +44,20 @@
   chicory::FileDescriptor Fd;
 };
 
+/// Returns a port on which nothing listens, for something that binds it later.
+/// The system never hands out a port of this range, so no socket of another
+/// test takes it in between.
+inline uint16_t freePort() {
+  static std::random_device random;
+  std::uniform_int_distribution<int> ports(10'000, 31'999);
+  for (;;) {
+    chicory::Address it{.Ip = Loopback,
+                        .Port = static_cast<uint16_t>(ports(random))};
+    if (chicory::bindUdp(it) && chicory::listenTcp(it))
+      return it.Port;
+  }
+}
+
 /// Returns the opening packet of a caller on loopback to 198.18.0.1:443, or one
 /// of its copies.
 inline std::vector<std::byte> opening(uint16_t port, uint32_t copy = 0) {
