Hold back registrations that may be late writes, for three seconds

Callers: a server that had started again with an earlier clock got new flows while it drained, from all instances, for good.

Cause: a lower born counted as a late write of the former process, without an end, so the packet thread's list and the registry cache differed for good.

Change: such a registration is applied once it has stood for three seconds, within which a running server writes again; a drain in it counts at once. The same for a write that takes a drain back with a lower sequence than the drain. Weighed: applying the newest write at once would let a late "ready" of the former process take back a drain for up to a heartbeat.

Measured: with applyHeld emptied TokenCoreTest::appliesARegistrationThatStands and BackendsTest::acceptsARestartWithAnEarlierClock fail; all 63 pass.

--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -72,6 +72,8 @@
   int64_t StartedAtMs = 0;
   /// Remaining warm-up time when the server wrote this registration.
   Duration WarmUpLeft = Duration::zero();
+  /// Number of this write among those of the server's process; zero if unknown.
+  uint64_t Sequence = 0;
 
   bool operator==(const Registration &) const = default;
 };
@@ -121,6 +123,8 @@
   /// The server is gone because another one has answered at its address. Its
   /// registration still stands.
   bool Replaced = false;
+  /// A registration that is held back says that the server drains.
+  bool DrainHeld = false;
   /// When this instance learned that the server's present process has this
   /// address.
   Time ClaimedAt;
@@ -134,14 +138,15 @@
   Reachability Probes;
 
   bool acceptsNewFlows() const {
-    return State == BackendState::Ready && !ZoneDrained && !AddressContested;
+    return State == BackendState::Ready && !ZoneDrained && !AddressContested &&
+           !DrainHeld;
   }
   /// Returns true if the server accepts new flows, or would if its registration
   /// is missing only because of the registry.
   bool mayAcceptNewFlows() const {
     bool missing = State == BackendState::Missing && !Info.Draining;
     return (State == BackendState::Ready || missing) && !ZoneDrained &&
-           !AddressContested;
+           !AddressContested && !DrainHeld;
   }
   bool isSuspect(Time now) const { return now < SuspectUntil; }
   /// Returns the load that this instance has placed on the server. An opening
@@ -162,6 +167,10 @@
   /// The address of a server that has ended is not given to another one for at
   /// least this long. (Requirement: two seconds.)
   Duration AddressUnusedFor = std::chrono::seconds(1);
+  /// How long a registration that may be a late write is held back. A running
+  /// server overwrites a late write with its next heartbeat, about a second
+  /// later.
+  Duration LateWriteHold = std::chrono::seconds(3);
 };
 
 /// The list of backend servers.
@@ -180,11 +189,19 @@
   /// decides. A server whose service is not named by the operators makes no
   /// claim to its address.
   ///
-  /// A registration of a process that started before the known one arrived late
-  /// and changes nothing. If the process started later, the server has
-  /// restarted: all observations of it are discarded, and `takeRestarted`
-  /// returns it.
+  /// A registration that may be a late write is held back: one of a process
+  /// that started before the known one, or one that takes back a drain and has
+  /// a lower `Sequence` than the drain. It is applied once it has stood for
+  /// `LateWriteHold`; only the drain that it may state counts at once.
+  ///
+  /// If the server's process is another one than before, all observations of
+  /// the server are discarded, and `takeRestarted` returns it.
   bool applyRegistration(const Registration &info, Time now);
+  /// Applies the registrations that were held back for long enough. Returns the
+  /// servers whose state changed.
+  std::vector<BackendIndex> applyHeld(Time now);
+  /// Returns true if a registration of the server is held back.
+  bool holdsRegistrationOf(BackendIndex i) const { return Held.contains(i); }
   /// Sets the services that the operators name. Until the first call, all are.
   void setNamedServices(std::unordered_set<uint32_t> services, Time now);
   /// Records that a server has answered something that was sent to it at
@@ -257,7 +274,16 @@
   }
 
 private:
+  /// A registration that may be a late write, and when it was first read.
+  struct HeldRegistration {
+    Registration Info;
+    Time Since;
+  };
+
   BackendIndex add(const Registration &info, Time now);
+  static bool mayBeLate(const Backend &backend, const Registration &info);
+  void hold(BackendIndex i, const Registration &info, Time now);
+  void release(BackendIndex i);
   /// Replaces the registration of a server. Returns true if its state changed.
   bool replaceRegistration(BackendIndex i, const Registration &info, Time now);
   /// What a registration says of the claim to its address.
@@ -304,6 +330,7 @@
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByService;
   AddressClaims Claims;
   std::optional<std::unordered_set<uint32_t>> NamedServices;
+  std::unordered_map<BackendIndex, HeldRegistration> Held;
   std::vector<BackendIndex> Reinstated;
   std::vector<BackendIndex> ContestChanges;
   DrainedZones Drained;
--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -99,6 +99,8 @@
   uint64_t ContestedAddresses = 0;
   /// Servers that were gone because another one had answered at their address.
   uint64_t ReplacedServers = 0;
+  /// Registrations that were held back because they may be late writes.
+  uint64_t HeldRegistrations = 0;
   /// Responses and requests without one, as far as they were judged.
   uint64_t WholeResponses = 0;
   uint64_t ShortResponses = 0;
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -211,6 +211,9 @@
          "Backend servers that were found to have ended because another one "
          "answered at their address",
          edge.Core.ReplacedServers);
+  scalar(out, "chicory_held_registrations_total", "counter",
+         "Registrations that were held back because they may be late writes",
+         edge.Core.HeldRegistrations);
   histogram(out, "chicory_handshake_seconds",
             "Time from forwarding an opening to the caller's next packet",
             edge.Core.HandshakeTime);
--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -29,6 +29,7 @@
   if (*x == *y)
     return true;
   token::Registration later = *y;
+  later.Sequence = x->Sequence;
   // `WarmUpLeft` decreases while a server warms up. An instance that knows when
   // the warm-up began needs no update.
   bool countingDown =
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -53,6 +53,10 @@
 
 bool Backends::applyRegistration(const Registration &info, Time now) {
   BackendIndex i = find(info.Id);
+  if (i != NoBackend && mayBeLate(Entries[i], info)) {
+    hold(i, info, now);
+    return false;
+  }
   if (i == NoBackend) {
     i = add(info, now);
     Entries[i].Info = info;
@@ -65,13 +69,48 @@
   return replaceRegistration(i, info, now);
 }
 
+bool Backends::mayBeLate(const Backend &backend, const Registration &info) {
+  const Registration &known = backend.Info;
+  bool bothKnown = known.StartedAtMs != 0 && info.StartedAtMs != 0;
+  if (bothKnown && info.StartedAtMs != known.StartedAtMs)
+    return info.StartedAtMs < known.StartedAtMs;
+  bool takesDrainBack =
+      backend.State == BackendState::Draining && !info.Draining;
+  return takesDrainBack && info.Sequence != 0 && info.Sequence < known.Sequence;
+}
+
+void Backends::hold(BackendIndex i, const Registration &info, Time now) {
+  auto [it, isNew] = Held.try_emplace(i, HeldRegistration{info, now});
+  if (!isNew && it->second.Info.StartedAtMs != info.StartedAtMs)
+    it->second.Since = now;
+  it->second.Info = info;
+  Entries[i].DrainHeld = info.Draining;
+}
+
+void Backends::release(BackendIndex i) {
+  Held.erase(i);
+  Entries[i].DrainHeld = false;
+}
+
+std::vector<BackendIndex> Backends::applyHeld(Time now) {
+  std::vector<Registration> due;
+  for (const auto &[i, it] : Held)
+    if (now - it.Since >= Times.LateWriteHold)
+      due.push_back(it.Info);
+  std::vector<BackendIndex> out;
+  for (const Registration &it : due) {
+    BackendIndex i = find(it.Id);
+    if (replaceRegistration(i, it, now))
+      out.push_back(i);
+  }
+  return out;
+}
+
 bool Backends::replaceRegistration(BackendIndex i, const Registration &info,
                                    Time now) {
+  release(i);
   Backend &backend = Entries[i];
   const Registration known = backend.Info;
-  if (known.StartedAtMs != 0 && info.StartedAtMs != 0 &&
-      info.StartedAtMs < known.StartedAtMs)
-    return false;
   BackendState oldState = backend.State;
   bool restarted = known.StartedAtMs != 0 && info.StartedAtMs != 0 &&
                    known.StartedAtMs != info.StartedAtMs;
@@ -311,6 +350,7 @@
   if (i == NoBackend)
     return false;
   Backend &backend = Entries[i];
+  release(i);
   if (backend.Replaced) {
     removeClaim(i, now);
     backend.Replaced = false;
@@ -377,6 +417,7 @@
   const Registration &info = Entries[i].Info;
   ById.erase(info.Id.Value);
   Claims.remove(info.Where, i);
+  Held.erase(i);
   eraseValue(ByToken[tokenOf(info.Id).Value], i);
   eraseValue(ByService[info.Service.Value], i);
   LostConflicts.erase(i);
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -256,6 +256,11 @@
   BackendIndex i = Servers.find(info.Id);
   if (changed)
     logState(i, now, actions);
+  if (Servers.holdsRegistrationOf(i)) {
+    ++Stats.HeldRegistrations;
+    return addDecision({.What = "registration_held", .Backend = info.Id}, now,
+                       actions);
+  }
   WarmUps.onRegistered(Servers.at(i), now);
 }
 
@@ -380,6 +385,10 @@
 }
 
 void Core::expireServers(bool trusted, Time now, Actions &actions) {
+  for (BackendIndex it : Servers.applyHeld(now)) {
+    logState(it, now, actions);
+    WarmUps.onRegistered(Servers.at(it), now);
+  }
   std::vector<BackendIndex> ended = Servers.expire(trusted, now);
   for (BackendIndex it : Servers.takeReinstated())
     logState(it, now, actions);
--- a/tests/BackendsTest.cpp
+++ b/tests/BackendsTest.cpp
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(keepsARunningServerWhenAnEndedOneRegistersLate);
   CPPUNIT_TEST(keepsARunningServerBesideAnotherWritersEntry);
   CPPUNIT_TEST(usesAKnownServerAtTheAddressOfAnEndedOne);
+  CPPUNIT_TEST(acceptsARestartWithAnEarlierClock);
+  CPPUNIT_TEST(keepsADrainThatALateWriteTakesBack);
   CPPUNIT_TEST(keepsAServerThatChangedItsAddress);
   CPPUNIT_TEST(keepsTheNewerOwnerOfAnAddressAfterARestore);
   CPPUNIT_TEST(provesOnlyWhatRevisionsCanProve);
@@ -330,6 +332,71 @@
                "the former owner has ended");
   }
 
+  // Guards against a server that gets new flows while it drains, since nothing
+  // that it writes counts: it has started again with a clock that was ahead
+  // before.
+  void acceptsARestartWithAnEarlierClock() {
+    Backends list({});
+    Registration info = server(1);
+    info.StartedAtMs = 3400;
+    list.applyRegistration(info, Start);
+    info.StartedAtMs = 1000;
+    expectTrue(!list.applyRegistration(info, Start + 1s), "it may be late");
+    expectTrue(list.applyHeld(Start + 2s).empty(), "not yet");
+    section("the server drains meanwhile", [&] {
+      Backends draining = list;
+      Registration leaving = info;
+      leaving.Draining = true;
+      draining.applyRegistration(leaving, Start + 2s);
+      expectTrue(!draining.at(0).acceptsNewFlows(), "no new flows at once");
+      expectEqual<size_t>(1, draining.applyHeld(Start + 4s).size());
+      expectTrue(draining.at(0).State == BackendState::Draining, "it drains");
+    });
+    section("the known process writes again", [&] {
+      Backends other = list;
+      Registration running = info;
+      running.StartedAtMs = 3400;
+      other.applyRegistration(running, Start + 2s);
+      expectTrue(other.applyHeld(Start + 1h).empty(), "it was a late write");
+      expectEqual<int64_t>(3400, other.at(0).Info.StartedAtMs);
+    });
+    section("it has stood for long enough", [&] {
+      list.applyHeld(Start + 4s);
+      expectEqual<int64_t>(1000, list.at(0).Info.StartedAtMs);
+      expectEqual<size_t>(1, list.takeRestarted().size());
+      info.Draining = true;
+      expectTrue(list.applyRegistration(info, Start + 9s), "it drains at once");
+    });
+  }
+
+  // Guards against new flows to a server that drains, because the registry
+  // executes a write from before the drain after it.
+  void keepsADrainThatALateWriteTakesBack() {
+    Backends list({});
+    Registration info = server(1);
+    info.Sequence = 7;
+    info.Draining = true;
+    list.applyRegistration(info, Start);
+    info.Sequence = 6;
+    info.Draining = false;
+    expectTrue(!list.applyRegistration(info, Start + 1s), "it may be late");
+    expectTrue(list.at(0).State == BackendState::Draining, "it still drains");
+    section("the server writes again", [&] {
+      Backends other = list;
+      info.Sequence = 8;
+      info.Draining = true;
+      other.applyRegistration(info, Start + 2s);
+      expectTrue(other.applyHeld(Start + 1h).empty(), "it was late");
+    });
+    section("an operator has taken the drain back", [&] {
+      Backends other = list;
+      info.Sequence = 8;
+      info.Draining = false;
+      expectTrue(other.applyRegistration(info, Start + 2s), "a later write");
+      expectTrue(other.at(0).acceptsNewFlows(), "it gets new flows");
+    });
+  }
+
   void keepsAServerThatChangedItsAddress() {
     Backends list({});
     Registration moving = server(1);
--- a/tests/TokenCoreTest.cpp
+++ b/tests/TokenCoreTest.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(triesTheServersOfAnAddressInTurn);
   CPPUNIT_TEST(learnsNothingFromOldPackets);
   CPPUNIT_TEST(sendsNoOpeningFromBeforeASuspensionAgain);
+  CPPUNIT_TEST(appliesARegistrationThatStands);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against new flows that are lost at a server which has ended, and
@@ -232,6 +233,23 @@
     }
   }
 
+  // Guards against a server that gets new flows while it drains, because it has
+  // started again with an earlier clock than before.
+  void appliesARegistrationThatStands() {
+    Instance instance;
+    Registration info = server(1);
+    info.StartedAtMs = 5000;
+    instance.configure({info});
+    info.StartedAtMs = 2600;
+    instance.handle(BackendsLearned{.Present = {info}, .ReadAt = 9000});
+    expectEqual<uint64_t>(1, instance.UnderTest.stats().HeldRegistrations);
+    instance.pass(4s);
+    info.Draining = true;
+    instance.handle(BackendsLearned{.Present = {info}});
+    expectTrue(stateOf(instance, 1) == BackendState::Draining, "it drains");
+    expectEqual<uint64_t>(0, sentTo(instance.packet(Caller{}.open())));
+  }
+
   void forwardsAFlowAtAnyInstance() {
     Instance opener;
     Instance other;
