Soak: late writes, entries of others, earlier clocks, signals in series

Change: servers write heartbeats with sequence and born. Beside everything else, with draws of their own: the last write of a crashed server is executed after another one has its address; a write from before a drain after it; entries of another program (unknown service, whole, damaged) with the address of a running server; starts with an earlier or later clock; pauses, reloads and stops of instances, two series at a time. A reset of an open flow by a server that does not hold it breaks a promise. Two servers that were added at the same moment no longer get one address.

--- a/tools/soaklib/ends.py
+++ b/tools/soaklib/ends.py
@@ -11,6 +11,8 @@
 OPEN_AT = (0.0, 0.2, 0.6)
 OPEN_LIFE = 1.4
 FIRST_RETRY = 0.2
+# A server writes its entry about so often.
+HEARTBEAT = 1.2
 LAST_RETRY = 1.6
 REQUEST_LIFE = 2.5
 # How a server answers a request that it fails; far shorter than a whole answer.
@@ -52,6 +54,9 @@
         # How it fails a share of its requests: "errors", "resets" or "hangs".
         self.fault, self.fault_share = None, 0.0
         self.openings = 0
+        self.sequence = 0
+        # Milliseconds of its start by its own clock.
+        self.born = round(time.time() * 1000)
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -59,12 +64,39 @@
         # Whoever only wants to know whether it lives opens a connection.
         self.listener = await asyncio.start_server(lambda _, writer: writer.close(), self.ip, self.port)
         self.register()
+        asyncio.ensure_future(self._beat())
         return self
 
-    def register(self):
+    async def start_again(self, clock_step):
+        """Starts again under its id, and knows nothing of before; its clock has jumped meanwhile."""
+        self.alive = False
+        for key in self.flows:
+            self.world.flow_ends(key)
+        self.flows.clear()
+        await asyncio.sleep(0.3)
+        self.alive, self.sequence = True, 0
+        self.born = round((time.time() + clock_step) * 1000)
+        self.register()
+        asyncio.ensure_future(self._beat())
+
+    async def _beat(self):
+        """Writes while the store is reached, and the entry is not left to lapse."""
+        born = self.born
+        while True:
+            await asyncio.sleep(HEARTBEAT)
+            if not self.alive or self.born != born or self.world.stopping:
+                return
+            if not self.world.store.trouble and self.key in self.world.store.items:
+                self.register()
+
+    def entry(self):
         state = "draining" if self.draining_since else "ready"
-        value = {"service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone, "version": "v1", "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": 1}
-        return self.world.store.put(self.key, json.dumps(value))
+        value = {"service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone, "version": "v1", "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": self.sequence, "born": self.born}
+        return json.dumps(value)
+
+    def register(self):
+        self.sequence += 1
+        return self.world.store.put(self.key, self.entry())
 
     def drain(self):
         self.draining_since = time.monotonic()
@@ -169,11 +201,11 @@
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(self.ip, self.world.port))
         return self
 
-    def datagram_received(self, raw, _):
+    def datagram_received(self, raw, sender):
         packet = wire.decode(raw)
         flow = self.flows.get(packet.dport)
         if flow:
-            flow.received(packet)
+            flow.received(packet, sender)
 
 
 class Flow:
@@ -191,13 +223,15 @@
         self.reset = False
         self.finished = False
 
-    def received(self, packet):
+    def received(self, packet, sender):
         if packet.flags & wire.RST:
             ours = packet.sum == 0
             if not ours and not packet.intact():
                 return self.world.checks.breaks("changed", "a caller got a packet that nobody wrote")
             if ours and self.open:
                 self.world.flow_was_reset(self.key)
+            elif not ours and self.open:
+                self.world.server_reset(self.key, sender)
             self.reset = True
             return self.answers.put_nowait(None)
         if not packet.intact():
--- a/tools/soaklib/faults.py
+++ b/tools/soaklib/faults.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from . import ends, fleet
+from . import ends, fleet, registrations
 
 
 async def stop_planned(world):
@@ -57,6 +57,28 @@
     it.send_signal(signal.SIGCONT)
 
 
+async def signals(world, seconds):
+    """Stops, reloads and short pauses of one instance after another, in series that overlap, with draws of their own."""
+
+    async def series(draw):
+        end = time.monotonic() + seconds
+        while not world.planned_only and time.monotonic() < end:
+            it = draw.choice(world.instances)
+            for kind in draw.choices(("pause", "reload", "stop"), (6, 3, 1), k=draw.randint(1, 5)):
+                world.checks.count(f"signal {kind}")
+                world.disturb(1)
+                if kind == "pause":
+                    it.send_signal(signal.SIGSTOP)
+                    await asyncio.sleep(draw.uniform(0.05, 1.2))
+                    it.send_signal(signal.SIGCONT)
+                else:
+                    it.send_signal(signal.SIGHUP if kind == "reload" else signal.SIGTERM)
+                await asyncio.sleep(draw.uniform(0, 0.5))
+            await asyncio.sleep(draw.uniform(0.5, 4))
+
+    await asyncio.gather(*(series(random.Random(f"signals {world.seed} {n}")) for n in range(2)))
+
+
 async def crash(world):
     service = world.random.choice(("records", "certificates"))
     living = world.living(service)
@@ -236,7 +258,7 @@
     """Starts one thing after another; they overlap."""
     end = time.monotonic() + seconds
     kinds = PLANNED if world.planned_only else PLANNED + FAULTS + FAULTS
-    running = {asyncio.ensure_future(it(world, seconds)) for it in (drain_zones, restore_stores, fail_in_part, press)}
+    running = {asyncio.ensure_future(it(world, seconds)) for it in (drain_zones, restore_stores, fail_in_part, press, signals, registrations.play)}
     while time.monotonic() < end:
         kind = world.random.choice(kinds)
         world.checks.count(kind.__name__)
--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -123,6 +123,8 @@
 class World:
     """Everything, and the promises."""
 
+    KEEPS_WAYS_EVERY = 3
+
     # One seed in three has servers in two zones, and the operators drain one now and then.
     DRAINS_EVERY = 3
 
@@ -160,8 +162,12 @@
         self.ever = {}
         self.version = 0
         self.flows = {}
+        # One seed in three has callers that go on through the instance of a flow's first packet until its process is gone.
+        self.keeps_ways = seed % self.KEEPS_WAYS_EVERY == 2
+        self.ways = {}
         self.disturbed_until = 0.0
         self.next_id = 0x100
+        self.next_address = 0
         self.stopping = False
 
     def way_to_instance(self, key, value):
@@ -194,6 +200,11 @@
         if backend and backend.alive and key[2:] in self.routes:
             self.checks.breaks("reset", f"an open flow {key} while {backend.key} serves it")
 
+    def server_reset(self, key, sender):
+        backend = self.flows.get(key)
+        if backend and backend.alive and sender != (backend.ip, backend.port):
+            self.checks.breaks("second server", f"{sender} reset the open flow {key} that {backend.key} serves")
+
     def opening_arrived(self, backend, key):
         now = time.monotonic()
         if not self.quiet():
@@ -210,10 +221,15 @@
     # The routers.
 
     def router(self, key):
+        way = self.ways.get(key)
+        if way and way[0].process is way[1] and way[0].running():
+            return way[0].ip, self.port
         ready = [it for it in self.instances if it.misses < 2]
         if len(ready) * 2 < len(self.instances):
             ready = self.instances
         best = max(ready, key=lambda it: zlib.crc32(repr((key, it.ip)).encode()))
+        if self.keeps_ways:
+            self.ways[key] = (best, best.process)
         return best.ip, self.port
 
     # The operator and the servers.
@@ -254,11 +270,17 @@
 
     async def add_backend(self, service, address=None):
         self.next_id += 1 + self.random.randrange(1 << 32)
-        ip, port = address or (f"127.3.{len(self.backends) // 200}.{len(self.backends) % 200 + 1}", self.server_port)
+        if address is None:
+            address = f"127.3.{self.next_address // 200}.{self.next_address % 200 + 1}", self.server_port
+            self.next_address += 1
+        ip, port = address
         backend = await ends.Backend(self, self.next_id, service, ip, port, self.random.uniform(0.005, 0.03)).start()
         self.backends.append(backend)
         return backend
 
+    def services(self):
+        return SERVICES
+
     def living(self, service=None):
         return [it for it in self.backends if it.alive and not it.draining_since and service in (None, it.service)]
 
