--- a/tools/soaklib/ends.py
+++ b/tools/soaklib/ends.py
@@ -277,15 +277,15 @@
             self.send(wire.ACK, name, seq)
             answer = await self._wait(min(wait, end - time.monotonic()))
             wait = min(wait * 2, LAST_RETRY)
-            if answer == ERROR:
-                self.ack += len(answer)
-                self.send(wire.ACK)
-                return False
-            while answer and answer != whole_answer(name):
+            while answer and answer not in (whole_answer(name), ERROR):
                 if not answer.startswith(b"answer to "):
                     self.world.checks.breaks("mixed", f"{name} got {answer}")
                 # A late copy of an earlier answer.
                 answer = await self._wait(0.2)
+            if answer == ERROR:
+                self.ack += len(answer)
+                self.send(wire.ACK)
+                return False
             if answer:
                 self.ack += len(answer)
                 self.send(wire.ACK)
--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import random
 import signal
@@ -84,8 +85,9 @@
         return self.process is not None and self.process.returncode is None
 
     def send_signal(self, number):
+        # Popen's own call would reap a process that has ended, and its exit code would be lost.
         if self.running():
-            self.process.send_signal(number)
+            os.kill(self.process.pid, number)
 
     async def watch(self):
         """Restarts the process whenever it has ended, as the platform does."""
@@ -386,11 +388,19 @@
         self.pressing = True
         crowd = [asyncio.ensure_future(self.press(n, service)) for n, service in enumerate(SERVICES * 2)]
         waiting = {it: it.openings for it in self.failed_in_part if it in self.living()}
-        end = time.monotonic() + self.RETURN_SECONDS
-        while waiting and time.monotonic() < end:
-            await asyncio.sleep(0.2)
-            waiting = {it: n for it, n in waiting.items() if it.openings == n and it in self.living()}
+        # A server of another zone gets new flows only while those of the instances' own zone are busy or drained.
+        for drained in (None, *self.zones[:-1]):
+            if drained:
+                self.drain_zone(drained)
+            end = time.monotonic() + self.RETURN_SECONDS
+            while waiting and time.monotonic() < end:
+                await asyncio.sleep(0.2)
+                waiting = {it: n for it, n in waiting.items() if it.openings == n and it in self.living()}
+            if drained:
+                self.restore_zone(drained)
+            if not any(it.zone != self.zones[0] for it in waiting):
+                break
         self.pressing = False
         await asyncio.gather(*crowd)
         for it in waiting:
-            self.checks.breaks("return", f"{it.key} got no new flow for {self.RETURN_SECONDS} s although it is well")
+            self.checks.breaks("return", f"{it.key} of zone {it.zone} got no new flow for {self.RETURN_SECONDS} s although it is well")
