--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -1,6 +1,7 @@
 """The world of a soak: instances as processes, the store, servers, callers, and what is promised."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -65,6 +66,7 @@
         self.world, self.name = world, f"edge-{number}"
         self.ip = f"127.1.0.{number}"
         self.process = None
+        self.pidfd = None
         self.misses = 2
         self.wanted = True
         self.paused = False
@@ -79,15 +81,26 @@
 
     async def start(self):
         with open(self.world.folder / f"{self.name}.log", "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(str(self.world.edge), "run", str(self.settings), stdout=log, stderr=log)
+            process = await asyncio.create_subprocess_exec(str(self.world.edge), "run", str(self.settings), stdout=log, stderr=log)
+        # The process may have ended already; then nothing is sent to it.
+        with contextlib.suppress(ProcessLookupError):
+            self._close_pidfd()
+            self.pidfd = os.pidfd_open(process.pid)
+        self.process = process
+
+    def _close_pidfd(self):
+        if self.pidfd is not None:
+            os.close(self.pidfd)
+        self.pidfd = None
 
     def running(self):
         return self.process is not None and self.process.returncode is None
 
     def send_signal(self, number):
         # Popen's own call would reap a process that has ended, and its exit code would be lost.
-        if self.running():
-            os.kill(self.process.pid, number)
+        if self.running() and self.pidfd is not None:
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self.pidfd, number)
 
     async def watch(self):
         """Restarts the process whenever it has ended, as the platform does."""
@@ -120,6 +133,7 @@
             self.send_signal(signal.SIGCONT)
             self.send_signal(signal.SIGKILL)
             await self.process.wait()
+        self._close_pidfd()
 
 
 class World:
