Soak: servers write again as soon as the store is reached

Logs: the store is back for edge-2 and edge-4 at 79.86 s, backend_missing at once, backend_gone cause=registration_ended at 82.42 s, the registration back at 85.86 s. The platform says that entries which expired in an outage are back within about two seconds, and that one which is still missing then is to be treated as gone, so the instances did right.

Cause: the run had two outages (store_trouble=2). Where they overlap, the end of the first one makes the store reachable, and the servers whose entries lapsed in the second one wrote only after that one's own time. Their heartbeats skipped lapsed entries. Now a heartbeat writes whenever the store is reached.

--- a/tools/soaklib/ends.py
+++ b/tools/soaklib/ends.py
@@ -80,13 +80,13 @@
         asyncio.ensure_future(self._beat())
 
     async def _beat(self):
-        """Writes while the store is reached, and the entry is not left to lapse."""
+        """Writes while the store is reached, also if its entry has lapsed."""
         born = self.born
         while True:
             await asyncio.sleep(HEARTBEAT)
             if not self.alive or self.born != born or self.world.stopping:
                 return
-            if not self.world.store.trouble and self.key in self.world.store.items:
+            if not self.world.store.trouble:
                 self.register()
 
     def entry(self):
