ArrivalTimeTest: wait until the kernel records arrival times

Cause: if no other socket of the machine has SO_TIMESTAMPNS enabled, the kernel enables it in a work queue. A datagram that arrives before gets the time of the read, so its wait is 0. The test sent its datagram at once. A program that sends a datagram each 0.1 ms after the call: those of the first 0.3 to 4.8 ms have no arrival time in 12 of 12 runs on an idle machine, in none of 12 beside 16 busy processes. Ruled out: a jump of the wall clock, by the same program's times of sending.

Change: the test sends datagrams, for 5 s at most, until one has the time of its arrival; the measurement after that is made once, with the same bounds. The header says when recording starts.

With the call in enableArrivalTimes taken out it fails.

--- a/lib/edge/ArrivalTime.h
+++ b/lib/edge/ArrivalTime.h
@@ -18,7 +18,9 @@
 };
 
 /// Makes the kernel record when each datagram arrives at a socket. Where the
-/// kernel can't, `waitingTime` returns nothing.
+/// kernel can't, `waitingTime` returns nothing. If no other socket of the
+/// machine has this enabled, the kernel starts a moment later, and datagrams
+/// that arrive before appear to arrive when they are read.
 void enableArrivalTimes(int socket);
 
 /// Returns how long a datagram that was received with an `ArrivalTimeBuffer`
--- a/tests/ArrivalTimeTest.cpp
+++ b/tests/ArrivalTimeTest.cpp
@@ -1,5 +1,7 @@
 #include "edge/ArrivalTime.h"
 
+#include "chicorybank/base/Clock.h"
+
 #include "Story.h"
 #include "UdpSamples.h"
 
@@ -17,29 +19,37 @@
   CPPUNIT_TEST(comparesWithTheTimesOfCopies);
   CPPUNIT_TEST_SUITE_END();
 
-  static std::optional<Duration> waitOfADatagram(bool enabled) {
-    FileDescriptor socket = std::move(*bindUdp({.Ip = Loopback, .Port = 0}));
-    if (enabled)
-      enableArrivalTimes(socket.get());
+  /// Sends a datagram to the socket, reads it after `time`, and returns how
+  /// long it has waited.
+  static std::optional<Duration> waitOfADatagram(const FileDescriptor &socket,
+                                                 Duration time) {
     Socket().send(boundAddress(socket), opening(1000));
-    std::this_thread::sleep_for(100ms);
+    std::this_thread::sleep_for(time);
     std::array<std::byte, 64> bytes{};
-    ArrivalTimeBuffer time{};
+    ArrivalTimeBuffer buffer{};
     iovec vector{.iov_base = bytes.data(), .iov_len = bytes.size()};
     msghdr message{};
     message.msg_iov = &vector;
     message.msg_iovlen = 1;
-    message.msg_control = time.Bytes;
-    message.msg_controllen = sizeof(time.Bytes);
+    message.msg_control = buffer.Bytes;
+    message.msg_controllen = sizeof(buffer.Bytes);
     expectEqual<ssize_t>(32, ::recvmsg(socket.get(), &message, 0));
     return waitingTime(message);
   }
 
   void measuresHowLongADatagramWaited() {
-    std::optional<Duration> waited = waitOfADatagram(true);
+    FileDescriptor socket = std::move(*bindUdp({.Ip = Loopback, .Port = 0}));
+    enableArrivalTimes(socket.get());
+    // The kernel may start to record only a moment later.
+    Time limit = steadyNow() + 5s;
+    while (waitOfADatagram(socket, 10ms) < 10ms && steadyNow() < limit)
+      continue;
+    std::optional<Duration> waited = waitOfADatagram(socket, 100ms);
     expectTrue(waited && *waited >= 100ms && *waited < 5s, "0.1 s or more");
-    section("the socket does not record it",
-            [] { expectTrue(!waitOfADatagram(false), "nothing is known"); });
+    section("the socket does not record it", [] {
+      FileDescriptor other = std::move(*bindUdp({.Ip = Loopback, .Port = 0}));
+      expectTrue(!waitOfADatagram(other, 100ms), "nothing is known");
+    });
   }
 
   void comparesWithTheTimesOfCopies() {
