--- /dev/null
+++ b/review/6/run.py
@@ -0,0 +1,140 @@
+"""A configuration brings a second service whose name has the same 32-bit hash as the first one's (see claim.txt)."""
+
+import asyncio
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "tools"))
+
+from soaklib import ends, fleet  # noqa: E402
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+DAEMONS = 2
+TARGETS = 4
+CALLERS = 6
+FIRST = "moci18a"
+SECOND = "jawe17b" if TROUBLE else "jawe18b"
+SERVE_SECONDS = 8.0
+
+
+class World(fleet.World):
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.notes = []
+        self.began = time.monotonic()
+        self.wrong = {}
+
+    def note(self, text):
+        self.notes.append(f"{time.monotonic() - self.began:.2f} s: {text}")
+
+    def services(self):
+        return FIRST, SECOND
+
+    def allowed(self, route):
+        # A server does not know the routes, and runs what reaches it.
+        return self.services()
+
+    def opening_arrived(self, backend, key):
+        self.checks.count(f"openings on {key[3]} at {backend.service}")
+        if backend.service not in self.ever.get(key[2:], ()):
+            self.wrong[key] = backend
+
+    def flow_opens(self, key, backend):
+        super().flow_opens(key, backend)
+        if self.wrong.get(key) is backend:
+            self.checks.breaks("ROUTE", f"{backend.key} of {backend.service} took the flow {key}; only {sorted(self.ever[key[2:]])} was ever allowed")
+
+    async def orders(self, caller, route, draw):
+        number = 0
+        while not self.stopping:
+            number += 1
+            flow = ends.Flow(caller, route)
+            if await flow.connect():
+                served = await flow.request(f"once {caller.ip} {flow.port} {number}".encode())
+                self.checks.count("served" if served else "failed")
+            else:
+                self.checks.count("not opened")
+            flow.close()
+            await asyncio.sleep(draw.uniform(0.05, 0.15))
+
+    async def play(self):
+        server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
+        self.store_port = server.sockets[0].getsockname()[1]
+        first = self.set_route(443, FIRST)
+        for _ in range(TARGETS):
+            await self.add_backend(FIRST)
+        for it in self.instances:
+            await it.prepare()
+        tasks = [asyncio.ensure_future(work) for it in self.instances for work in (it.watch(), it.probe())]
+        for _ in range(100):
+            if all(it.misses == 0 for it in self.instances):
+                break
+            await asyncio.sleep(0.1)
+        else:
+            raise RuntimeError("not all daemons are ready after ten seconds")
+        for n in range(CALLERS):
+            caller = await ends.Caller(self, f"127.2.0.{n + 1}").start()
+            tasks.append(asyncio.ensure_future(self.orders(caller, first, random.Random(n))))
+        await asyncio.sleep(4)
+        self.note(f"the route on port 443 leads to {FIRST}: {self.checks.counts}")
+        for _ in range(TARGETS):
+            await self.add_backend(SECOND)
+        second = self.set_route(8443, SECOND)
+        self.note(f"a configuration adds a route on port 8443 to {SECOND}")
+        for n in range(CALLERS):
+            caller = await ends.Caller(self, f"127.2.1.{n + 1}").start()
+            tasks.append(asyncio.ensure_future(self.orders(caller, second, random.Random(n))))
+        await asyncio.sleep(SERVE_SECONDS)
+        self.stopping = True
+        for it in self.instances:
+            await it.end()
+        for it in tasks:
+            it.cancel()
+        server.close()
+
+
+async def guarded(world):
+    """Plays the case, and ends all daemons whatever happens."""
+    task = asyncio.ensure_future(world.play())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await task
+    finally:
+        world.stopping = True
+        # A daemon may have been on its way up in the first round.
+        for _ in range(2):
+            for it in world.instances:
+                await it.end()
+            await asyncio.sleep(0.2)
+
+
+def main():
+    edge = ROOT / "target" / "chicory-edge"
+    if not edge.exists():
+        print("target/chicory-edge is missing")
+        return 2
+    folder = tempfile.mkdtemp(prefix="chicory-case-")
+    world = World(edge, folder, 1, DAEMONS)
+    world.zones = ("a",)
+    try:
+        asyncio.run(guarded(world))
+    except (OSError, RuntimeError, asyncio.CancelledError) as error:
+        print(f"could not run: {error}")
+        return 2
+    counts = " ".join(f"{key.replace(' ', '_')}={value}" for key, value in sorted(world.checks.counts.items()))
+    lines = [f"trouble={int(TROUBLE)} {counts}", *world.notes, *(f"broken: {it}" for it in world.checks.broken)]
+    pathlib.Path("record.txt").write_text("\n".join(lines) + "\n")
+    print(lines[0], f"broken={len(world.checks.broken)}", flush=True)
+    shutil.rmtree(folder, ignore_errors=True)
+    return 1 if world.checks.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
