--- /dev/null
+++ b/review/6/run.py
@@ -0,0 +1,162 @@
+"""A damaged entry of another writer, under a key of its own, comes and goes (see claim.txt)."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "tools"))
+
+from soaklib import ends, fleet  # noqa: E402
+
+# The exit code for a broken rule; run.sh makes 1 of it.
+BROKEN = 10
+# What counts of the things that the stand-ins notice.
+BREAKS = ("reset", "second server")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+DAEMONS = 3
+TARGETS = 10
+CALLERS = 40
+# More than `stability_window_ms`.
+CALM_SECONDS = 6.0
+ENTRY_SECONDS = 6.0
+AFTER_SECONDS = 8.0
+
+
+class World(fleet.World):
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.notes = []
+        self.began = time.monotonic()
+
+    def note(self, text):
+        self.notes.append(f"{time.monotonic() - self.began:.2f} s: {text}")
+
+    def flows_at(self, backend):
+        return sum(1 for it in self.flows.values() if it is backend)
+
+    async def board(self, caller, route, draw):
+        """A supervisor's board: one flow for as long as it lasts, with a request now and then."""
+        number = 0
+        while not self.stopping:
+            flow = ends.Flow(caller, route)
+            if await flow.connect():
+                served = True
+                while served and not flow.finished and not self.stopping:
+                    number += 1
+                    served = await flow.request(f"feed {caller.ip} {flow.port} {number}".encode())
+                    self.checks.count("served" if served else "failed")
+                    await asyncio.sleep(draw.uniform(0.05, 0.2))
+            else:
+                self.checks.count("not opened")
+                await asyncio.sleep(0.1)
+            flow.close()
+
+    async def orders(self, caller, route, draw):
+        """A caller that opens a flow for each request."""
+        number = 0
+        while not self.stopping:
+            number += 1
+            flow = ends.Flow(caller, route)
+            if await flow.connect():
+                await flow.request(f"order {caller.ip} {flow.port} {number}".encode())
+            flow.close()
+            await asyncio.sleep(draw.uniform(0.02, 0.08))
+
+    async def play(self):
+        server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
+        self.store_port = server.sockets[0].getsockname()[1]
+        route = self.set_route(443, "records")
+        for _ in range(TARGETS):
+            await self.add_backend("records")
+            # Their heartbeats are spread over time.
+            await asyncio.sleep(ends.HEARTBEAT / TARGETS)
+        for it in self.instances:
+            await it.prepare()
+        tasks = [asyncio.ensure_future(work) for it in self.instances for work in (it.watch(), it.probe())]
+        for _ in range(100):
+            if all(it.misses == 0 for it in self.instances):
+                break
+            await asyncio.sleep(0.1)
+        else:
+            raise RuntimeError("not all daemons are ready after ten seconds")
+        for n in range(CALLERS):
+            caller = await ends.Caller(self, f"127.2.0.{n + 1}").start()
+            work = self.board if n % 4 else self.orders
+            tasks.append(asyncio.ensure_future(work(caller, route, random.Random(n))))
+        await asyncio.sleep(CALM_SECONDS)
+        target = max(self.backends, key=self.flows_at)
+        key = f"servers/agent-{target.ident:x}"
+        self.note(f"{target.key} serves {self.flows_at(target)} open flows and has taken {target.openings} openings")
+        if TROUBLE:
+            entry = {"service": "records", "address": f"{target.ip}:{target.port}", "zone": target.zone, "version": "v1", "slots": 2}
+            self.store.put(key, json.dumps(entry))
+            self.note(f"another writer puts {json.dumps(entry)} at {key}")
+        before = target.openings
+        await asyncio.sleep(ENTRY_SECONDS)
+        self.note(f"{target.key} serves {self.flows_at(target)} open flows and has taken {target.openings - before} openings since")
+        if TROUBLE:
+            self.store.remove(key)
+            self.note(f"the other writer removes {key}")
+        before = target.openings
+        await asyncio.sleep(AFTER_SECONDS)
+        self.note(f"{target.key}, which has written its own entry every {ends.HEARTBEAT} s, has taken {target.openings - before} openings since")
+        self.stopping = True
+        for it in self.instances:
+            await it.end()
+        for it in tasks:
+            it.cancel()
+        server.close()
+
+
+async def guarded(world):
+    """Plays the case, and ends all daemons whatever happens."""
+    task = asyncio.ensure_future(world.play())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await task
+    finally:
+        world.stopping = True
+        # A daemon may have been on its way up in the first round.
+        for _ in range(2):
+            for it in world.instances:
+                await it.end()
+            await asyncio.sleep(0.2)
+
+
+def main():
+    edge = ROOT / "target" / "chicory-edge"
+    if not edge.exists():
+        print("target/chicory-edge is missing")
+        return 2
+    folder = tempfile.mkdtemp(prefix="chicory-case-")
+    world = World(edge, folder, 1, DAEMONS)
+    world.zones = ("a",)
+    try:
+        asyncio.run(guarded(world))
+    except (OSError, RuntimeError, asyncio.CancelledError) as error:
+        print(f"could not run: {error}")
+        return 2
+    counts = " ".join(f"{key.replace(' ', '_')}={value}" for key, value in sorted(world.checks.counts.items()))
+    lines = [f"trouble={int(TROUBLE)} {counts}", *world.notes, *(f"broken: {it}" for it in world.checks.broken)]
+    pathlib.Path("record.txt").write_text("\n".join(lines) + "\n")
+    print(lines[0], f"broken={len(world.checks.broken)}", flush=True)
+    if os.environ.get("KEEP"):
+        print(folder)
+    else:
+        shutil.rmtree(folder, ignore_errors=True)
+    if any(it.split(":")[0] in BREAKS for it in world.checks.broken):
+        return BROKEN
+    # Anything else, such as a port that another program has taken, says nothing about the rule.
+    return 2 if world.checks.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -15,6 +15,10 @@
 
 from soaklib import ends, fleet  # noqa: E402
 
+# The exit code for a broken rule; run.sh makes 1 of it.
+BROKEN = 10
+# What counts of the things that the stand-ins notice.
+BREAKS = ("ROUTE",)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DAEMONS = 2
 TARGETS = 4
@@ -133,7 +137,10 @@
     pathlib.Path("record.txt").write_text("\n".join(lines) + "\n")
     print(lines[0], f"broken={len(world.checks.broken)}", flush=True)
     shutil.rmtree(folder, ignore_errors=True)
-    return 1 if world.checks.broken else 0
+    if any(it.split(":")[0] in BREAKS for it in world.checks.broken):
+        return BROKEN
+    # Anything else, such as a port that another program has taken, says nothing about the rule.
+    return 2 if world.checks.broken else 0
 
 
 if __name__ == "__main__":
