--- a/review/4/run.py
+++ b/review/4/run.py
@@ -20,7 +20,7 @@
 # What counts of the things that the stand-ins notice.
 BREAKS = ("second server", "reset")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SECONDS = 85.0
+SECONDS = 60.0
 DAEMONS = 2
 TARGETS = 4
 # Callers that hold one flow at a time each.
@@ -34,6 +34,40 @@
 LAG_SECONDS = 0.4
 MAX_LAG = 0.012
 
+# Every address is a loopback address, also that of the routes.
+fleet.ROUTE_IP = "127.9.0.1"
+
+# For each request: when it was sent first, when it was answered, and when and where it was run.
+REQUESTS = {}
+
+
+class Flow(ends.Flow):
+    async def request(self, name):
+        row = REQUESTS.setdefault(name, {"run": []})
+        row["sent"] = time.monotonic()
+        served = await super().request(name)
+        if served:
+            row["answered"] = time.monotonic()
+        return served
+
+
+class Backend(ends.Backend):
+    async def _run(self, packet, key):
+        if packet.data not in self.answers:
+            REQUESTS.setdefault(packet.data, {"run": []})["run"].append((time.monotonic(), self.key))
+        await super()._run(packet, key)
+
+
+ends.Flow, ends.Backend = Flow, Backend
+
+
+def request_lines(began):
+    """A line for each request, with seconds since the start."""
+    for name, row in REQUESTS.items():
+        sent, answered = (f"{row[it] - began:.3f}" if it in row else "never" for it in ("sent", "answered"))
+        run = ", ".join(f"{at - began:.3f} at {key}" for at, key in row["run"]) or "never"
+        yield f"request {name.decode()}: sent {sent}, answered {answered}, run {run}"
+
 
 class DelayedTransport:
     """Sends each datagram after the link's delay."""
@@ -171,7 +205,7 @@
     lines = [f"trouble={int(TROUBLE)} flows_opened={world.opened} {counts} worst_lag_ms={world.lag * 1000:.1f}"]
     lines += [f"{at - begin:.1f} s: SIGTERM to {name}" for at, name in stops]
     lines += [f"broken: {it}" for it in world.checks.broken]
-    pathlib.Path("record.txt").write_text("\n".join(lines) + "\n")
+    pathlib.Path("record.txt").write_text("\n".join([*lines, *request_lines(begin)]) + "\n")
     print(lines[0], f"broken={len(world.checks.broken)}", flush=True)
     if os.environ.get("KEEP"):
         print(folder)
--- a/review/6/run.py
+++ b/review/6/run.py
@@ -29,6 +29,40 @@
 ENTRY_SECONDS = 6.0
 AFTER_SECONDS = 8.0
 
+# Every address is a loopback address, also that of the routes.
+fleet.ROUTE_IP = "127.9.0.1"
+
+# For each request: when it was sent first, when it was answered, and when and where it was run.
+REQUESTS = {}
+
+
+class Flow(ends.Flow):
+    async def request(self, name):
+        row = REQUESTS.setdefault(name, {"run": []})
+        row["sent"] = time.monotonic()
+        served = await super().request(name)
+        if served:
+            row["answered"] = time.monotonic()
+        return served
+
+
+class Backend(ends.Backend):
+    async def _run(self, packet, key):
+        if packet.data not in self.answers:
+            REQUESTS.setdefault(packet.data, {"run": []})["run"].append((time.monotonic(), self.key))
+        await super()._run(packet, key)
+
+
+ends.Flow, ends.Backend = Flow, Backend
+
+
+def request_lines(began):
+    """A line for each request, with seconds since the start."""
+    for name, row in REQUESTS.items():
+        sent, answered = (f"{row[it] - began:.3f}" if it in row else "never" for it in ("sent", "answered"))
+        run = ", ".join(f"{at - began:.3f} at {key}" for at, key in row["run"]) or "never"
+        yield f"request {name.decode()}: sent {sent}, answered {answered}, run {run}"
+
 
 class World(fleet.World):
     def __init__(self, *arguments):
@@ -146,7 +180,7 @@
         return 2
     counts = " ".join(f"{key.replace(' ', '_')}={value}" for key, value in sorted(world.checks.counts.items()))
     lines = [f"trouble={int(TROUBLE)} {counts}", *world.notes, *(f"broken: {it}" for it in world.checks.broken)]
-    pathlib.Path("record.txt").write_text("\n".join(lines) + "\n")
+    pathlib.Path("record.txt").write_text("\n".join([*lines, *request_lines(world.began)]) + "\n")
     print(lines[0], f"broken={len(world.checks.broken)}", flush=True)
     if os.environ.get("KEEP"):
         print(folder)
