Openings are moved only from servers that fail a probe too

Cause: an opening counted as unanswered if the caller's next packet did not come to the same instance. When the routers take an instance out, these packets go through another one, and the flow is open. Two such openings made the server suspect, and all openings that waited there went to a second server. Its answer changed the token that the caller echoes, and the other instances forwarded the flow by this token.

Change: the openings of a server are moved once it has failed a probe, which was sent before already. An open flow stays at the server where an instance saw it open, whatever token its packets echo; the acknowledgement tells it from a later flow of the same port. An instance that is being stopped judges no server. Nothing changes between instances or in the store.

--- a/include/chicorybank/token/Core.h
+++ b/include/chicorybank/token/Core.h
@@ -91,6 +91,9 @@
   uint64_t Packets = 0;
   uint64_t Forwarded = 0;
   uint64_t Opened = 0;
+  /// Packets of open flows with the token of another server, one that the
+  /// opening was also sent to.
+  uint64_t SecondServerTokens = 0;
   /// Flows that were opened before the updates were ever confirmed as current.
   uint64_t OpenedUnconfirmed = 0;
   uint64_t Probes = 0;
@@ -183,6 +186,7 @@
   void on(const BackendReportedUnreachable &event, Time now, Actions &actions);
   void on(const BackendHealthReported &event, Time now, Actions &actions);
   void on(const ProcessResumed &event, Time now, Actions &actions);
+  void on(const StopBegun &event, Time now, Actions &actions);
   void on(const Tick &event, Time now, Actions &actions);
 
   void openFlow(const PacketReceived &event, Time now, Actions &actions);
@@ -191,6 +195,13 @@
   void forwardPacket(const PacketReceived &event, Time now, Actions &actions);
   BackendIndex serverOfToken(const FlowPacket &head, Time now,
                              Reason &why) const;
+  /// Returns true if a flow that is open elsewhere was also sent to this
+  /// server.
+  bool isSecondServer(BackendIndex i, const FlowState &flow) const;
+  /// Returns true if a packet continues a flow that is open at its recorded
+  /// server, whatever token it echoes.
+  bool continuesFlow(const FlowPacket &head, const FlowState &flow,
+                     Time now) const;
   void handleUnknownToken(const FlowPacket &head, Time now, Actions &actions);
   void trackPacket(const PacketReceived &event, BackendIndex i, Time now,
                    Actions &actions);
@@ -271,11 +282,13 @@
   void resetFlowsOfUnreachable(BackendIndex i, Time now, Actions &actions);
   void checkRequests(Time now, Actions &actions);
   Duration requestTimeout() const;
-  void moveOpenings(Time now, Actions &actions);
+  void moveOpenings(BackendIndex from, Time now, Actions &actions);
   bool isAvoided(const Backend &backend, Time now) const {
     return backend.isSuspect(now) || ZoneView.isSuspect(backend.Info.Zone, now);
   }
   void checkOpenings(Time now, Actions &actions);
+  /// Returns after how long an opening counts as unanswered.
+  Duration openingTimeout() const;
   void resetFlowsOfRestarted(int64_t readAt, Time now, Actions &actions);
   void expireServers(bool trusted, Time now, Actions &actions);
   void applyRegistration(const Registration &info, Time now, Actions &actions);
@@ -382,6 +395,8 @@
   /// When this process last resumed after it was suspended.
   Time ResumedAt;
   bool AllBackendsKnown = false;
+  /// This instance is being stopped.
+  bool StopRequested = false;
   CoreStats Stats;
 };
 
--- a/include/chicorybank/token/Events.h
+++ b/include/chicorybank/token/Events.h
@@ -112,14 +112,19 @@
 /// The process, or its machine, was suspended until now.
 struct ProcessResumed {};
 
+/// This instance is being stopped: the routers send the packets of its flows
+/// through other instances, so a missing packet says nothing about a server.
+struct StopBegun {};
+
 /// Advances timers; see `Core::nextTick` for when it is due.
 struct Tick {};
 
-using Event = std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
-                           BackendsLearned, ZoneDrainLearned, InstancesLearned,
-                           BackendsComplete, FreshnessUpdated, BoundsChanged,
-                           ProbeEnded, BackendReportedUnreachable,
-                           BackendHealthReported, ProcessResumed, Tick>;
+using Event =
+    std::variant<PacketReceived, RoutesLearned, PastRoutesLearned,
+                 BackendsLearned, ZoneDrainLearned, InstancesLearned,
+                 BackendsComplete, FreshnessUpdated, BoundsChanged, ProbeEnded,
+                 BackendReportedUnreachable, BackendHealthReported,
+                 ProcessResumed, StopBegun, Tick>;
 
 /// Send the packet to a backend server, with this token written into it.
 struct Forward {
--- a/lib/edge/ControlWorker.cpp
+++ b/lib/edge/ControlWorker.cpp
@@ -87,6 +87,8 @@
     }
     if (stopRequested && !Stopping) {
       Stopping = true;
+      State.Stopping = true;
+      State.PacketWakeup.wake();
       StopAt = now + Settings.StopDelay;
       Sync.leave();
       Logger.write(LogLine("stopping"));
--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -194,6 +194,10 @@
          "Packets sent to backend servers", edge.Core.Forwarded);
   scalar(out, "chicory_opened_total", "counter",
          "Flows assigned to a backend server", edge.Core.Opened);
+  scalar(out, "chicory_second_server_tokens_total", "counter",
+         "Packets of open flows with the token of another server, which stayed "
+         "at the flow's server",
+         edge.Core.SecondServerTokens);
   scalar(out, "chicory_opened_unconfirmed_total", "counter",
          "Flows assigned to a backend server before the registry updates were "
          "first confirmed as current",
--- a/lib/edge/PacketWorker.cpp
+++ b/lib/edge/PacketWorker.cpp
@@ -192,6 +192,8 @@
 
 void PacketWorker::applyUpdates(Time now) {
   token::Event event;
+  if (State.Stopping && !std::exchange(StopBegun, true))
+    handle(token::StopBegun{}, now);
   while (State.Updates.try_dequeue(event))
     handle(event, now);
   Batch.flush();
--- a/lib/edge/PacketWorker.h
+++ b/lib/edge/PacketWorker.h
@@ -85,6 +85,8 @@
   bool ReportsOverload;
   /// Whether packets wait for the first registry updates.
   bool HoldPackets;
+  /// The core was told that this instance is being stopped.
+  bool StopBegun = false;
   /// Packets in the socket may be from before a suspension.
   bool PacketsMayBeOld = false;
 };
--- a/lib/edge/SharedState.h
+++ b/lib/edge/SharedState.h
@@ -60,6 +60,8 @@
   /// For how long the packet socket was not empty, in milliseconds, when
   /// `Overloaded` last changed.
   std::atomic<int64_t> BacklogMs = 0;
+  /// From the control thread: this instance is being stopped and still serves.
+  std::atomic<bool> Stopping = false;
   std::atomic<bool> Stopped = false;
 
   /// Returns the packet thread's statistics as of its last `publish`.
--- a/lib/token/BackendSelection.cpp
+++ b/lib/token/BackendSelection.cpp
@@ -201,7 +201,6 @@
                .Why = Reason::BackendSilent,
                .Zone = backend.Info.Zone},
               now, actions);
-  moveOpenings(now, actions);
 }
 
 void Core::markSuspect(BackendIndex i, Time now, Actions &actions) {
@@ -220,21 +219,25 @@
                                 .Backend = backend.Info.Id,
                                 .Rules = Routes.version(),
                                 .Age = now - backend.LastProgress});
-  moveOpenings(now, actions);
 }
 
-/// Sends openings that wait at avoided servers to another server at once.
+/// Sends the openings that a server left unanswered to another server at once.
 /// Otherwise they are lost at a silent server, and callers notice only after
 /// 200 ms.
-void Core::moveOpenings(Time now, Actions &actions) {
+///
+/// The server must have failed a probe. That its callers' next packets are
+/// missing proves nothing: routers may send them through another instance, for
+/// example when an instance stops or joins, and then the flows are open.
+void Core::moveOpenings(BackendIndex from, Time now, Actions &actions) {
   if (!Options.Enabled.MovedOpenings)
     return;
   for (Opening &it : Openings) {
     FlowState *flow = flowOf(it.Flow);
-    if (!flow || !flow->Opening || !isAvoided(Servers.at(flow->Backend), now))
+    if (!flow || !flow->Opening || flow->Backend != from)
       continue;
-    BackendIndex from = flow->Backend;
-    if (now - it.SentAt > MoveWithin || flow->SentAt != it.SentAt)
+    Duration waited = now - it.SentAt;
+    if (waited < openingTimeout() || waited > MoveWithin ||
+        flow->SentAt != it.SentAt)
       continue;
     const Route *route = Routes.find(it.Flow.Destination);
     if (!route)
@@ -259,9 +262,12 @@
   }
 }
 
+Duration Core::openingTimeout() const {
+  return std::max(Options.OpeningTimeout, Handshake * HandshakeFactor);
+}
+
 void Core::checkOpenings(Time now, Actions &actions) {
-  Duration timeout =
-      std::max(Options.OpeningTimeout, Handshake * HandshakeFactor);
+  Duration timeout = openingTimeout();
   for (size_t n = 0; n < Openings.size(); ++n) {
     Opening &it = Openings[n];
     if (it.Counted || now - it.SentAt < timeout)
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -1,6 +1,7 @@
 #include "chicorybank/token/Core.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <unordered_set>
 
 namespace chicory::token {
@@ -23,6 +24,11 @@
 // flow that is older than a server's process by more than this counts as older.
 constexpr Duration MaxClockError = std::chrono::seconds(5);
 
+// A packet whose acknowledgement is farther from the last one belongs to a
+// later flow of the same caller port. The protocol accepts resets within this
+// distance.
+constexpr int64_t MaxStreamDistance = 76'800;
+
 // With subsets as large as this, each one holds all servers.
 constexpr size_t AllServers = 1'000'000;
 
@@ -110,9 +116,10 @@
     if (flow.SentAt == Time{})
       onFlowOpened(i, now);
     flow.SentAt = now;
-    Openings.push_back({.Flow = key,
-                        .SentAt = now,
-                        .Raw = {event.Raw.begin(), event.Raw.end()}});
+    if (!StopRequested)
+      Openings.push_back({.Flow = key,
+                          .SentAt = now,
+                          .Raw = {event.Raw.begin(), event.Raw.end()}});
   }
   send(i, event.Raw, actions);
 }
@@ -150,14 +157,18 @@
   }
   Reason why = Reason::None;
   BackendIndex i = serverOfToken(head, now, why);
-  // If the opening went to two servers, both may have answered. The caller has
-  // its flow with the first one. If its token changes to that of the second
-  // one, the second one must not get the packets of the flow.
+  // If the opening went to two servers, from this instance or from two, both
+  // may have answered. The caller has its flow with the first one. If its token
+  // changes to that of the second one, the second one must not get the packets
+  // of the flow.
   const FlowState *flow = flowOf(head.key());
-  bool isSecondServer = flow && i != NoBackend && !flow->Opening &&
-                        flow->AlsoSentTo == Servers.at(i).Info.Id;
-  if (flow && (isSecondServer || (i == NoBackend && head.Echo.Value == 0)))
+  if (flow && i == NoBackend && head.Echo.Value == 0)
+    i = flow->Backend;
+  if (flow && i != flow->Backend &&
+      (isSecondServer(i, *flow) || continuesFlow(head, *flow, now))) {
+    ++Stats.SecondServerTokens;
     i = flow->Backend;
+  }
   if (i == NoBackend) {
     drop(head, why, now, actions);
     if (why == Reason::UnknownToken)
@@ -176,6 +187,23 @@
   trackPacket(event, i, now, actions);
 }
 
+bool Core::isSecondServer(BackendIndex i, const FlowState &flow) const {
+  return i != NoBackend && !flow.Opening &&
+         flow.AlsoSentTo == Servers.at(i).Info.Id;
+}
+
+/// The acknowledgement tells the flow from a later one of the same caller port,
+/// since servers start each stream at a random position.
+bool Core::continuesFlow(const FlowPacket &head, const FlowState &flow,
+                         Time now) const {
+  const Backend &recorded = Servers.at(flow.Backend);
+  int64_t distance =
+      static_cast<int32_t>(head.Acknowledged - flow.LastAcknowledged);
+  return !flow.Opening && std::abs(distance) <= MaxStreamDistance &&
+         recorded.State != BackendState::Gone &&
+         Routes.mayReach(head.Route, recorded.Info.Service, now);
+}
+
 /// Handles a token that no known server has. The token may be newer than the
 /// registrations here. The server is known to have ended only if the token has
 /// been unknown for `UnknownTokenTimeout`, within which every registration
@@ -339,6 +367,13 @@
   ResumedAt = now;
 }
 
+void Core::on(const StopBegun & /*event*/, Time /*now*/,
+              Actions & /*actions*/) {
+  Openings.clear();
+  Requests.clear();
+  StopRequested = true;
+}
+
 void Core::on(const Tick & /*event*/, Time now, Actions &actions) {
   bool first = LastTick == Time{};
   if (!first && now - LastTick > SuspendedAfter + SweepInterval)
--- a/lib/token/FlowTracking.cpp
+++ b/lib/token/FlowTracking.cpp
@@ -85,7 +85,8 @@
     flow.RequestInProgress = true;
     flow.RequestSince = now;
     ++backend.InProgress;
-    Requests.push_back({.Flow = head.key(), .SentAt = now});
+    if (!StopRequested)
+      Requests.push_back({.Flow = head.key(), .SentAt = now});
   }
   flow.LastSequence = head.Sequence;
   flow.DataAt = now;
--- a/lib/token/Reachability.cpp
+++ b/lib/token/Reachability.cpp
@@ -172,6 +172,7 @@
   Backend &backend = Servers.at(i);
   Reachability &reach = backend.Probes;
   markSuspect(i, now, actions);
+  moveOpenings(i, now, actions);
   // If no server of the zone has answered yet, the round-trip time to the zone
   // is unknown.
   bool roundTripKnown = backend.Info.Zone == Options.Zone ||
--- a/lib/token/ResponseTracking.cpp
+++ b/lib/token/ResponseTracking.cpp
@@ -63,7 +63,7 @@
   const Route *route = Routes.find(key.Destination);
   if (!route || !flow.Response.isWaiting())
     return;
-  if (flow.Response.becameOverdue(route->Objective, now)) {
+  if (!StopRequested && flow.Response.becameOverdue(route->Objective, now)) {
     ++Stats.OverdueRequests;
     // A stalled request was counted against the server before.
     HealthChange change = HealthChange::None;
--- a/tests/PacketWorkerTest.cpp
+++ b/tests/PacketWorkerTest.cpp
@@ -59,6 +59,12 @@
   bool isForwarded(int timeoutMs = 1000) const {
     return Server.receive(timeoutMs).has_value();
   }
+  /// Tells the packet thread that this instance is being stopped.
+  void beginStop() {
+    Shared.Stopping = true;
+    Shared.PacketWakeup.wake();
+  }
+  uint64_t probes() { return Shared.stats().Core.Probes; }
   /// Stops the packet thread by a signal.
   void stopFor(std::chrono::milliseconds time) {
     StopMs = static_cast<int>(time.count());
@@ -82,6 +88,7 @@
   CPPUNIT_TEST_SUITE(PacketWorkerTest);
   CPPUNIT_TEST(dropsOpeningsThatWaitedWhileItWasStopped);
   CPPUNIT_TEST(dropsOpeningsThatWereSentAgainMeanwhile);
+  CPPUNIT_TEST(judgesNoServerAfterAStopHasBegun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,6 +127,21 @@
     expectTrue(it.isForwarded(), "the last copy is forwarded");
     expectTrue(!it.isForwarded(300), "the first one was sent again");
   }
+
+  // Guards against a planned stop that goes unnoticed by the core, which then
+  // takes servers for silent whose callers go on through other instances.
+  void judgesNoServerAfterAStopHasBegun() {
+    for (bool stopped : {false, true}) {
+      RunningWorker it;
+      if (stopped)
+        it.beginStop();
+      std::this_thread::sleep_for(50ms);
+      it.send(1000);
+      expectTrue(it.isForwarded(), "openings are forwarded");
+      std::this_thread::sleep_for(600ms);
+      expectTrue((it.probes() == 0) == stopped, "a probe without a stop only");
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PacketWorkerTest);
--- a/tests/TokenSamples.h
+++ b/tests/TokenSamples.h
@@ -92,6 +92,32 @@
     }
     return out;
   }
+  /// Advances the clock like `pass`; the servers that are probed meanwhile do
+  /// not answer.
+  Actions passWithoutAnswers(Duration time) {
+    Actions out;
+    for (Time end = Now + time; Now < end;) {
+      Actions step = pass(10ms);
+      for (const Action &it : step)
+        if (const auto *probe = std::get_if<ProbeBackend>(&it))
+          Waiting.emplace_back(Now + probe->Timeout, probe->Id);
+      out.insert(out.end(), step.begin(), step.end());
+      auto due = std::exchange(Waiting, {});
+      for (const auto &[at, id] : due) {
+        if (at > Now) {
+          Waiting.emplace_back(at, id);
+          continue;
+        }
+        Actions ended =
+            handle(ProbeEnded{.Id = id, .Outcome = ProbeOutcome::Failed});
+        for (const Action &it : ended)
+          if (const auto *probe = std::get_if<ProbeBackend>(&it))
+            Waiting.emplace_back(Now + probe->Timeout, probe->Id);
+        out.insert(out.end(), ended.begin(), ended.end());
+      }
+    }
+    return out;
+  }
   /// Provides everything that the core needs to be ready.
   void configure(std::vector<Registration> servers, uint64_t version = 1) {
     handle(RoutesLearned{bothRoutes(version)});
@@ -103,6 +129,8 @@
   Time Now = Start;
   Core UnderTest;
   std::array<std::byte, 32> Raw{};
+  /// Probes under way, with the end of their timeouts.
+  std::vector<std::pair<Time, BackendId>> Waiting;
 };
 
 /// Returns the actions of one type.
