One key of the registry speaks for a server

Cause: the number in a key was all that identified a server behind the platform's boundary, so the entry's end ended the server, and a damaged entry kept flows away. The server's own renewals add nothing to its entry in the cache, so nothing brought it back. Evidence: backend_unreadable, backend_missing and backend_gone cause=registration_ended with the server's id, at the times of the other key's changes.

Change: ServerKeys lets the key that registered first speak for a server, also while its registration lapses and returns. Items of other keys with the number stay in the cache for other instances, and concern no server. A finding names them.

--- a/include/chicorybank/edge/RegistryCache.h
+++ b/include/chicorybank/edge/RegistryCache.h
@@ -13,6 +13,7 @@
 #define CHICORYBANK_EDGE_REGISTRYCACHE_H
 
 #include "chicorybank/edge/Registry.h"
+#include "chicorybank/edge/ServerKeys.h"
 
 #include <deque>
 #include <map>
@@ -128,6 +129,8 @@
   /// Returns the position up to which the cache will hold all changes once it
   /// has applied a list of everything.
   Position positionAfter(const ItemPage &list) const;
+  bool speaksForServer(const Item &item, const ItemContent &content, bool isNew,
+                       Findings &findings);
   void addToHistory(const Item &item, Position learnedAt);
   Item asPassedOn(Item item) const;
   size_t historyLimit() const;
@@ -144,6 +147,7 @@
   /// The position of the generation's first whole list.
   Position FirstListAt;
   std::map<std::string, Entry> Items;
+  ServerKeys Keys;
   /// All operator settings as of this position are known.
   Position OperatorSettingsAsOf;
   /// The key that holds the routes; empty if none does.
--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -84,6 +84,17 @@
   return mixHash(identity, std::visit(ContentHash(), content));
 }
 
+/// Returns the server that an item's content is about, if it is about one.
+std::optional<token::BackendId> serverOf(const ItemContent &content) {
+  if (const auto *it = std::get_if<token::Registration>(&content))
+    return it->Id;
+  if (const auto *it = std::get_if<RegistrationUnreadable>(&content))
+    return it->Id;
+  if (const auto *it = std::get_if<RegistrationEnded>(&content))
+    return it->Id;
+  return std::nullopt;
+}
+
 bool isRegistration(const ItemContent &content) {
   return std::holds_alternative<token::Registration>(content) ||
          std::holds_alternative<RegistrationUnreadable>(content);
@@ -200,6 +211,24 @@
                                      : RegistrationOrigin::UpToThis};
 }
 
+/// Records what a key holds now. `isNew`: it held no registration before.
+/// Returns false if it concerns a server for which another key speaks.
+bool RegistryCache::speaksForServer(const Item &item,
+                                    const ItemContent &content, bool isNew,
+                                    Findings &findings) {
+  std::optional<token::BackendId> id = serverOf(content);
+  if (!id)
+    return true;
+  bool speaks = item.Deleted ? Keys.end(*id, item.Key)
+                : std::holds_alternative<token::Registration>(content)
+                    ? Keys.claim(*id, item.Key, item.Created, isNew)
+                    : Keys.maySpeakFor(*id, item.Key);
+  if (!speaks && isNew && !item.Deleted)
+    findings.add({.File = item.Key},
+                 "has the id of a server that is registered at another key");
+  return speaks;
+}
+
 void RegistryCache::applyItem(const Item &item, const ItemPage &page,
                               Findings &findings, std::vector<Change> &out) {
   auto it = Items.find(item.Key);
@@ -223,7 +252,8 @@
       Items.erase(it);
     }
     addToHistory(item, page.At);
-    out.push_back({.Source = item, .Content = std::move(content)});
+    if (speaksForServer(item, content, false, findings))
+      out.push_back({.Source = item, .Content = std::move(content)});
     return;
   }
   if (std::holds_alternative<std::monostate>(content)) {
@@ -233,6 +263,7 @@
   }
   if (it == Items.end())
     it = Items.emplace(item.Key, Entry{}).first;
+  bool isNew = !std::holds_alternative<token::Registration>(it->second.Content);
   if (std::holds_alternative<token::RouteSet>(content))
     RoutesKey = item.Key;
   uint64_t digest = digestOf(item, content);
@@ -246,10 +277,12 @@
   removeFromTotals(it->second);
   it->second = {.Source = item, .Content = content, .Digest = digest};
   addToTotals(it->second);
+  bool speaks = speaksForServer(item, content, isNew, findings);
   if (same)
     return;
   addToHistory(item, page.At);
-  out.push_back({.Source = item, .Content = std::move(content)});
+  if (speaks)
+    out.push_back({.Source = item, .Content = std::move(content)});
 }
 
 /// Unparseable items are not cached, so every list contains them again; their
@@ -369,7 +402,8 @@
   std::vector<token::Registration> out;
   for (const auto &[key, entry] : Items)
     if (const auto *it = std::get_if<token::Registration>(&entry.Content);
-        it && !entry.Retained && (!zone || it->Zone == *zone))
+        it && !entry.Retained && (!zone || it->Zone == *zone) &&
+        (!Keys.isDisputed(it->Id) || Keys.maySpeakFor(it->Id, key)))
       out.push_back(*it);
   return out;
 }
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(comparesNothingAcrossGenerations);
   CPPUNIT_TEST(passesOnAReturnFromAStaleRead);
   CPPUNIT_TEST(claimsNoPositionBeyondTheChangesThatItHolds);
+  CPPUNIT_TEST(letsOneKeySpeakForAServer);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
   CPPUNIT_TEST(passesOnWhatALaterPageOfAListHas);
   CPPUNIT_TEST(passesOnWhatALaterPageOfTheFirstListHad);
@@ -90,6 +91,46 @@
     });
   }
 
+  // Guards against the end of a running server, and of its flows, by an entry
+  // of another program whose key has the number of the server's id.
+  void letsOneKeySpeakForAServer() {
+    for (const std::string &key :
+         {std::string("servers/agent-1"), std::string("servers/z-1"),
+          std::string("servers/i-01"), std::string("servers/1")})
+      for (const char *service : {"records", "metrics", ""}) {
+        Store store;
+        store.server(1);
+        RegistryCache cache(Dialect);
+        Findings findings;
+        cache.replaceAll(store.list(), findings);
+        int64_t seen = store.revision();
+        store.entry(key, service);
+        section("the other entry comes and goes", [&] {
+          expectTrue(cache.apply(store.since(seen), findings).empty(),
+                     key + " changes nothing");
+          expectEqual<size_t>(1, cache.registrations().size());
+          RegistryCache started(Dialect);
+          started.replaceAll(store.list(), findings);
+          expectTrue(started.registrations() == cache.registrations(),
+                     "an instance that starts uses the server's own key");
+          expectEqual(cache.digest(), started.digest());
+          seen = store.revision();
+          store.remove(key);
+          expectTrue(cache.apply(store.since(seen), findings).empty(),
+                     "its end changes nothing");
+        });
+        section("the server's own entry ends", [&] {
+          seen = store.revision();
+          store.remove("servers/i-1");
+          auto changes = cache.apply(store.since(seen), findings);
+          expectEqual<size_t>(1, changes.size());
+          expectTrue(
+              std::holds_alternative<RegistrationEnded>(changes[0].Content),
+              "the server has ended");
+        });
+      }
+  }
+
   // Guards against a running server that other instances end when its time to
   // return is over: its lost registration and the new one have the same content
   // and, by chance, the same revision.
--- a/tests/RegistrySamples.h
+++ b/tests/RegistrySamples.h
@@ -50,6 +50,14 @@
             R"(:80","zone":"a","slots":2,"state":")" + state +
             R"(","sequence":)" + std::to_string(sequence) + "}");
   }
+  /// Writes an entry with the contents of a server's registration at any key;
+  /// one that can't be read without a service.
+  void entry(const std::string &key, const std::string &service) {
+    put(key, R"({"service":")" + service +
+                 R"(","address":"10.0.0.1:80","zone":"a","slots":2,)" +
+                 (service.empty() ? "" : R"("state":"ready",)") +
+                 R"("sequence":1})");
+  }
   void config(int version) {
     put("op/config",
         R"({"version":)" + std::to_string(version) + R"(,"routes":[]})");
