A first list waits for others only while one of them has a list

Cause: the delay of the first list grew with the servers, up to 20 s, and relied on a push of an instance that lists early; here none was left.

Change: the first list begins within half of apply_within from the first answer, unless an instance with a list has said so within five seconds; the longer delay applies then. Instances whose first list came from the registry say so in deployments in which the delay could be longer. The message is a push without a position, which the former program ignores.

--- a/include/chicorybank/edge/RegistryWatcher.h
+++ b/include/chicorybank/edge/RegistryWatcher.h
@@ -56,6 +56,15 @@
   /// Timeout of the first calls after a start. Many instances start together,
   /// so calls get lost; a shorter timeout detects that sooner.
   Duration StartupCallTimeout = std::chrono::milliseconds(400);
+  /// The first list begins within this time from the registry's first answer,
+  /// however many servers the directory names, unless another instance is known
+  /// to pass its list on: what was read at the start is too old afterwards.
+  /// Half of the time in which changes must be in force; the list takes the
+  /// rest.
+  Duration FirstListWithin = std::chrono::milliseconds(1500);
+  /// How long a message of an instance with a list counts as a sign that it
+  /// passes the list on. Longer than two intervals of `AnnounceInterval`.
+  Duration OthersListFor = std::chrono::seconds(5);
   /// Back-off after a failure: doubling, with a quarter of jitter.
   Duration RetryMin = std::chrono::milliseconds(50);
   Duration RetryMax = std::chrono::milliseconds(800);
@@ -151,7 +160,17 @@
                  std::vector<token::Event> &out);
   /// The changes that a push announced could not be read from its sender, so
   /// the registry is called at once.
-  void pullFailed() { CallNow = true; }
+  void pullFailed() {
+    CallNow = true;
+    OthersListUntil = {};
+  }
+  /// Returns true if this instance has the first list from the registry, and
+  /// others may wait for it to be passed on. They have to be told
+  /// (`makeListAnnouncement`), or they list too.
+  bool hasListForOthers() const {
+    return ListedFirst && mayPassOn() &&
+           Start.listDelayMax() > Times.FirstListWithin;
+  }
   /// Reads the changes since a list that may be stale from the registry without
   /// a further wait, as no other instance has them. Returns false if there is
   /// no such list, or if that call has failed.
@@ -174,6 +193,9 @@
   }
   /// Builds a push with the changes after a position.
   UpdatePush makePush(InstanceId self, Position since, Time now) const;
+  /// Builds the message that tells instances without a list that this one has
+  /// it.
+  static UpdatePush makeListAnnouncement(InstanceId self);
   /// Lists everything after the process or its machine was suspended, since the
   /// cache may be stale.
   void revalidate(Time now);
@@ -238,6 +260,7 @@
            ListCursor.empty();
   }
   bool replacesFirstList(const UpdatePush &push) const;
+  static bool isListAnnouncement(const UpdatePush &push);
   bool mustPull(const UpdatePush &push) const;
   void trackDifference(bool differs, Time now);
   /// The push proves that the list which is due would find nothing.
@@ -293,6 +316,14 @@
   bool CallNow = false;
   /// No call is made before this time.
   Time DueAt;
+  /// When the registry first answered.
+  std::optional<Time> FirstAnswerAt;
+  /// The first list is due at `DueAt`, or while another instance is known to
+  /// pass its list on, until `OthersListUntil`, at `ListDueAt`.
+  Time ListDueAt;
+  Time OthersListUntil;
+  /// The first list came from the registry, not from another instance.
+  bool ListedFirst = false;
   Time SentAt;
   /// When the last call that can prove the cache current was sent: a watch, or
   /// a page of a current list that does not alternate with watches.
--- a/include/chicorybank/edge/StartupReads.h
+++ b/include/chicorybank/edge/StartupReads.h
@@ -19,7 +19,8 @@
 //
 // The list of everything follows later, by up to `ListDelayPerServer` for each
 // server, so that lists leave the registry's link to instances that start. An
-// instance that has listed earlier passes the items on to the others.
+// instance that has listed earlier passes the items on to the others; without a
+// sign of one, `WatcherTimes::FirstListWithin` limits the delay.
 
 #ifndef CHICORYBANK_EDGE_STARTUPREADS_H
 #define CHICORYBANK_EDGE_STARTUPREADS_H
--- a/lib/edge/PeerUpdates.cpp
+++ b/lib/edge/PeerUpdates.cpp
@@ -22,6 +22,10 @@
 bool RegistryWatcher::applyPush(const UpdatePush &push, bool late, Time now,
                                 std::vector<token::Event> &out) {
   ++Stats.Pushes;
+  if (!late)
+    OthersListUntil = now + Times.OthersListFor;
+  if (isListAnnouncement(push))
+    return false;
   if (!Complete && (late || !replacesFirstList(push)))
     return false;
   if (Complete)
@@ -132,6 +136,16 @@
     out.emplace_back(token::BackendsComplete{});
 }
 
+/// Returns whether a push only announces a list. Instances that don't know this
+/// ignore it, as they do any push of unknown age without a position.
+bool RegistryWatcher::isListAnnouncement(const UpdatePush &push) {
+  return push.Page.At == Position{} && push.Page.Items.empty();
+}
+
+UpdatePush RegistryWatcher::makeListAnnouncement(InstanceId self) {
+  return {.Sender = self, .Age = MaxPushAge};
+}
+
 UpdatePush RegistryWatcher::makePush(InstanceId self, Position since,
                                      Time now) const {
   UpdatePush out{.Sender = self,
--- a/lib/edge/RegistrySync.cpp
+++ b/lib/edge/RegistrySync.cpp
@@ -11,6 +11,10 @@
 
 constexpr size_t ReceiveBufferBytes = 2048;
 constexpr int MaxReadsPerEvent = 64;
+// How often, and for how long after its start, an instance with a list tells
+// the instances that may wait for one.
+constexpr Duration AnnounceInterval = std::chrono::seconds(2);
+constexpr Duration AnnounceFor = StartupReads::DelayMax;
 
 /// Returns the source of updates for log lines. The default id stands for the
 /// registry.
@@ -62,6 +66,7 @@
   if (Watcher.started())
     Writer.run(mayWriteShared(), Tree.stalenessLimit(), now);
   sendGossip(now);
+  announceList(now);
 }
 
 Time RegistrySync::nextAt() const {
@@ -70,6 +75,8 @@
     out = std::min(out, Writer.nextAt(mayWriteShared(), Tree.stalenessLimit()));
   if (mayGossip())
     out = std::min(out, Gossip.nextAt(Stale));
+  if (mayAnnounceList())
+    out = std::min(out, AnnounceAt);
   if (!Leaving && !Registry.busy())
     out = std::min(out, Watcher.nextAt());
   return out;
@@ -409,6 +416,25 @@
     send(bytes, it);
 }
 
+bool RegistrySync::mayAnnounceList() const {
+  return !Leaving && Watcher.hasListForOthers() &&
+         AnnounceAt < StartedAt + AnnounceFor;
+}
+
+/// Tells all instances that this one has a list. If a whole large deployment
+/// starts, most instances wait many seconds until it is passed on to them; each
+/// would list by itself otherwise, and fill the registry's link.
+void RegistrySync::announceList(Time now) {
+  if (!mayAnnounceList() || now < AnnounceAt)
+    return;
+  AnnounceAt = now + AnnounceInterval;
+  InstanceId self{Settings.Ip};
+  std::string bytes = encodePush(RegistryWatcher::makeListAnnouncement(self));
+  for (const auto &[id, peer] : Gossip.registered())
+    if (id != self)
+      send(bytes, peer.PeerAddress);
+}
+
 bool RegistrySync::mayGossip() const {
   return Settings.Core.Enabled.OutageGossip && Watcher.hasAllItems() &&
          Watcher.mayPassOn();
--- a/lib/edge/RegistrySync.h
+++ b/lib/edge/RegistrySync.h
@@ -86,6 +86,8 @@
   void handleSeed(const PageResult &read);
   void sendGossip(Time now);
   bool mayGossip() const;
+  void announceList(Time now);
+  bool mayAnnounceList() const;
   /// Whether this instance may write shared items. Its cache is complete, so an
   /// item that is missing here is missing in the registry, and the registry
   /// answers, so calls are not wasted.
@@ -118,6 +120,8 @@
   RegistryWriter Writer;
   RegistryClient Registry;
   Time StartedAt = steadyNow();
+  /// When this instance next announces its list.
+  Time AnnounceAt;
   PeerPages Pages;
   std::deque<token::Event> Pending;
   /// The registered instances, and former ones that may be back.
--- a/lib/edge/RegistryWatcher.cpp
+++ b/lib/edge/RegistryWatcher.cpp
@@ -36,6 +36,8 @@
 Time RegistryWatcher::nextAt() const {
   if (CallInFlight)
     return Time::max();
+  if (firstListIsPending())
+    return std::min(ListDueAt, std::max(DueAt, OthersListUntil));
   if (State == Phase::Starting || CallNow || listPageIsNext())
     return DueAt;
   if (watches())
@@ -213,6 +215,8 @@
     return handleFailure(answer.Status, now);
   Retry = Times.RetryMin;
   DueAt = now;
+  if (!FirstAnswerAt)
+    FirstAnswerAt = now;
   std::vector<Change> changes;
   auto result =
       Start.handleAnswer(absent ? std::string() : answer.Body,
@@ -228,8 +232,8 @@
   if (!Seeded || !directory)
     appendEvents(std::move(changes), out);
   std::uniform_real_distribution<double> share(0, 1);
-  DueAt += std::chrono::duration_cast<Duration>(Start.callDelayMax() *
-                                                share(Random));
+  Duration delayMax = std::min(Start.callDelayMax(), Times.FirstListWithin / 2);
+  DueAt += std::chrono::duration_cast<Duration>(delayMax * share(Random));
   if (Start.done())
     beginFirstList(now);
 }
@@ -249,7 +253,10 @@
   // as many in each further tenth of the time.
   constexpr double Doublings = 10;
   double wait = std::max(0.0, 1 + std::log2(uniform(Random)) / Doublings);
-  DueAt = now + std::chrono::duration_cast<Duration>(delayMax * wait);
+  Time latest = std::max(*FirstAnswerAt + Times.FirstListWithin, now);
+  DueAt = now + std::chrono::duration_cast<Duration>(
+                    std::min(delayMax, latest - now) * wait);
+  ListDueAt = now + std::chrono::duration_cast<Duration>(delayMax * wait);
 }
 
 void RegistryWatcher::handleFailure(int status, Time now) {
@@ -319,6 +326,7 @@
   bool current = ListFreshness == Freshness::Current;
   Unconfirmed = !current;
   CatchUpDue = !current;
+  ListedFirst = ListedFirst || !Complete;
   if (current)
     markCurrent(ListStartedAt, out);
   beginWatching(now, out);
--- a/lib/edge/Settings.cpp
+++ b/lib/edge/Settings.cpp
@@ -148,6 +148,7 @@
   out.Core.Servers.GoneRetention = out.Core.MaxFlowAge;
   out.Watcher.PollInterval = std::clamp<Duration>(
       out.Core.ApplyWithin / PollsPerApply, PollIntervalMin, PollIntervalMax);
+  out.Watcher.FirstListWithin = out.Core.ApplyWithin / 2;
   out.Core.UpdateGap = std::chrono::duration_cast<Duration>(
       out.Watcher.PollInterval * PollsInGap);
   if (out.Grace > 2 * GraceReserve)
--- a/tests/RegistrySamples.h
+++ b/tests/RegistrySamples.h
@@ -244,8 +244,8 @@
 
 /// A watcher with a clock, whose calls a store answers.
 struct WatcherFixture {
-  explicit WatcherFixture(WatcherTimes times = {})
-      : Watcher(Dialect, times, 1, "a") {}
+  explicit WatcherFixture(WatcherTimes times = {}, uint64_t seed = 1)
+      : Watcher(Dialect, times, seed, "a") {}
 
   /// Reads what a start needs: everything before the first list.
   void start(const Store &store) {
--- a/tests/StartModel.h
+++ b/tests/StartModel.h
@@ -30,6 +30,9 @@
   double RegistryBytesPerSecond = 125e6;
   double InstanceBytesPerSecond = 2.5e6;
   size_t PageItems = 500;
+  WatcherTimes Times;
+  /// The first of the instances' seeds.
+  uint64_t Seed = 0;
   /// The instances know each other by their records and push their updates, and
   /// the model runs until all of them know everything.
   bool Peers = false;
@@ -60,7 +63,8 @@
   StartModel(const Store &registry, StartModelOptions options)
       : Registry(registry), Options(options) {
     for (size_t n = 0; n < options.Instances; ++n)
-      Instances.push_back(std::make_unique<Instance>(n));
+      Instances.push_back(
+          std::make_unique<Instance>(n, options.Times, options.Seed + n));
     std::map<InstanceId, PeerRecord> records;
     for (const auto &it : Instances)
       records[it->Id] = {.Id = it->Id,
@@ -92,16 +96,17 @@
 
 private:
   struct Instance {
-    explicit Instance(size_t n)
+    Instance(size_t n, WatcherTimes times, uint64_t seed)
         : Id{static_cast<uint32_t>(n + 1)},
-          Watcher(Dialect, {}, n, "nyarutarama"),
-          Tree({.Self = Id, .Zone = "nyarutarama", .Seed = n}) {}
+          Watcher(Dialect, times, seed, "nyarutarama"),
+          Tree({.Self = Id, .Zone = "nyarutarama", .Seed = seed}) {}
     InstanceId Id;
     platform::StoreDialect Dialect;
     RegistryWatcher Watcher;
     PropagationTree Tree;
     bool Pulling = false;
     bool Complete = false;
+    bool Announces = false;
     Time StartedAt;
     Time LinkFreeAt;
     bool HasRoutes = false;
@@ -184,6 +189,21 @@
       ++Completed;
       Outcome.CompleteAfter = now - Start;
     }
+    if (Options.Peers && it.Watcher.hasListForOthers() &&
+        !std::exchange(it.Announces, true))
+      announce(it, now);
+  }
+
+  /// Tells all instances that this one has a list, every two seconds.
+  void announce(Instance &from, Time now) {
+    for (const auto &it : Instances)
+      if (it->Id != from.Id)
+        at(now + Options.OneWay, [&to = *it, &from](Time then) {
+          std::vector<token::Event> none;
+          to.Watcher.applyPush(RegistryWatcher::makeListAnnouncement(from.Id),
+                               false, then, none);
+        });
+    at(now + 2s, [this, &from](Time then) { announce(from, then); });
   }
 
   void push(Instance &from, bool fromRegistry, Time now) {
--- a/tests/StartupReadsTest.cpp
+++ b/tests/StartupReadsTest.cpp
@@ -72,6 +72,8 @@
   CPPUNIT_TEST(servesSoonWithTwiceTheInstances);
   CPPUNIT_TEST(servesFromItsOwnZoneFirst);
   CPPUNIT_TEST(sharesListsBetweenInstances);
+  CPPUNIT_TEST(sharesListsThatAreDueSoon);
+  CPPUNIT_TEST(knowsEverythingInTimeWithoutTheOthers);
   CPPUNIT_TEST_SUITE_END();
 
   // 300 instances come back from a power loss within 0.3 s, with 600 servers
@@ -131,6 +133,48 @@
       expectTrue(out.CompleteAfter <= 8s, summary);
     }
   }
+
+  // The same where changes must be in force so soon that most first lists are
+  // due before one could be passed on. Guards against instances that all list,
+  // though others have a list.
+  void sharesListsThatAreDueSoon() {
+    Store store = storeWith(300, 4000);
+    addDirectory(store);
+    StartOutcome out = StartModel(store, {.Instances = 300,
+                                          .Times = {.FirstListWithin = 1s},
+                                          .Peers = true})
+                           .run();
+    std::string summary = std::to_string(out.Lists) +
+                          " lists, complete after " +
+                          std::to_string(ms(out.CompleteAfter)) + " ms";
+    expectTrue(out.Lists * 4 <= 300, summary);
+    expectTrue(out.CompleteAfter <= 8s, summary);
+  }
+
+  // All instances of a large deployment are killed, and few or one start again.
+  // Guards against an instance that acts for many seconds on what it read at
+  // its start, since it waits for another one to pass a list on.
+  void knowsEverythingInTimeWithoutTheOthers() {
+    // Changes have to be in force within eight seconds.
+    constexpr Duration ApplyWithin = 8s;
+    WatcherTimes times{.FirstListWithin = ApplyWithin / 2};
+    for (size_t servers : {500U, 10'000U}) {
+      Store store = storeWith(985, servers);
+      addDirectory(store);
+      for (size_t left : {1U, 3U})
+        for (uint64_t seed = 0; seed < 6; ++seed) {
+          StartOutcome out = StartModel(store, {.Instances = left,
+                                                .Times = times,
+                                                .Seed = seed,
+                                                .Peers = true})
+                                 .run();
+          expectTrue(out.CompleteAfter <= ApplyWithin,
+                     std::to_string(servers) + " servers, seed " +
+                         std::to_string(seed) + ": " +
+                         std::to_string(ms(out.CompleteAfter)) + " ms");
+        }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StartupReadsTest);
