Services have ids of 63 bits

Cause: the id of a service was a 32-bit hash of its name, and only ids are compared. Evidence: both names have the hash; another name serves.

Change: an id has 63 bits of two hashes. Its lower half is the former id, which checksums and the stored route history keep, so that instances of the former program understand both.

Result: tests of Hash, StoreDialect and RouteTable failed with 32 bits and pass; the checksum of a sample is that of the former program.

--- a/bench/CoreBench.cpp
+++ b/bench/CoreBench.cpp
@@ -72,7 +72,7 @@
   RuleSet out;
   out.Version = RuleVersion{1};
   Service service{.Name = "records",
-                  .Id = serviceIdOf("records"),
+                  .Id = shortServiceId(serviceIdOf("records")),
                   .Connections = 1'000'000};
   for (uint32_t i = 0; i < targets; ++i)
     service.Targets.push_back(
--- a/include/chicorybank/base/Hash.h
+++ b/include/chicorybank/base/Hash.h
@@ -31,9 +31,20 @@
   return x ^ (x >> 31);
 }
 
-/// Returns the id of the service with this name; never zero.
+/// Returns the id of the service with this name, which fits into a signed
+/// integer and is never zero. It has 63 bits of two hashes, so that no two of
+/// tens of thousands of names share it by chance: each would get the flows of
+/// the other.
 ServiceId serviceIdOf(std::string_view name);
 
+/// Returns the lower 32 bits of a service's id, for formats that have no room
+/// for more; never zero. Two of 34,000 names share it in one deployment out of
+/// eight.
+ServiceId shortServiceId(ServiceId id);
+
+/// Returns true if the id is a short one.
+bool isShort(ServiceId id);
+
 } // namespace chicory
 
 #endif
--- a/include/chicorybank/base/Types.h
+++ b/include/chicorybank/base/Types.h
@@ -49,8 +49,8 @@
 
 /// The id of an instance. Zero means "none".
 using InstanceId = StrongId<struct InstanceTag, uint32_t>;
-/// The id of a service: a 32-bit hash of its name. Zero means "none".
-using ServiceId = StrongId<struct ServiceTag, uint32_t>;
+/// The id of a service: a hash of its name (`serviceIdOf`). Zero means "none".
+using ServiceId = StrongId<struct ServiceTag, uint64_t>;
 /// The id of a request on a flow, chosen by the caller.
 using RequestId = StrongId<struct RequestTag, uint64_t>;
 /// The version of the operators' rule set. Zero means that none is known.
--- a/include/chicorybank/token/Backends.h
+++ b/include/chicorybank/token/Backends.h
@@ -203,7 +203,7 @@
   /// Returns true if a registration of the server is held back.
   bool holdsRegistrationOf(BackendIndex i) const { return Held.contains(i); }
   /// Sets the services that the operators name. Until the first call, all are.
-  void setNamedServices(std::unordered_set<uint32_t> services, Time now);
+  void setNamedServices(std::unordered_set<uint64_t> services, Time now);
   /// Records that a server has answered something that was sent to it at
   /// `sentAt`.
   ///
@@ -327,9 +327,9 @@
   std::vector<BackendIndex> Free;
   std::unordered_map<uint64_t, BackendIndex> ById;
   std::unordered_map<uint32_t, std::vector<BackendIndex>> ByToken;
-  std::unordered_map<uint32_t, std::vector<BackendIndex>> ByService;
+  std::unordered_map<uint64_t, std::vector<BackendIndex>> ByService;
   AddressClaims Claims;
-  std::optional<std::unordered_set<uint32_t>> NamedServices;
+  std::optional<std::unordered_set<uint64_t>> NamedServices;
   std::unordered_map<BackendIndex, HeldRegistration> Held;
   std::vector<BackendIndex> Reinstated;
   std::vector<BackendIndex> ContestChanges;
--- a/include/chicorybank/token/OutlierDetector.h
+++ b/include/chicorybank/token/OutlierDetector.h
@@ -218,7 +218,7 @@
   /// Positions in `Records`, plus 1, by `BackendIndex`; 0 if there is none.
   std::vector<uint32_t> Positions;
   std::vector<Record> Records;
-  std::unordered_map<uint32_t, ServiceRecord> Services;
+  std::unordered_map<uint64_t, ServiceRecord> Services;
 };
 
 } // namespace chicory::token
--- a/include/chicorybank/token/PriorityAdmission.h
+++ b/include/chicorybank/token/PriorityAdmission.h
@@ -155,7 +155,7 @@
   static void grow(Service &service, double amount);
 
   AdmissionOptions Options;
-  std::unordered_map<uint32_t, Service> Services;
+  std::unordered_map<uint64_t, Service> Services;
 };
 
 } // namespace chicory::token
--- a/include/chicorybank/token/Routes.h
+++ b/include/chicorybank/token/Routes.h
@@ -36,7 +36,8 @@
   Duration Timeout = std::chrono::seconds(10);
 };
 
-/// An address and a service that its route leads to or has led to.
+/// An address and a service that its route leads to or has led to; the id of
+/// the service may be a short one.
 struct RoutePair {
   Address Where;
   ServiceId Service;
@@ -105,6 +106,7 @@
 
 private:
   struct FormerService {
+    /// May be a short id.
     ServiceId Service;
     Time LostAt;
   };
--- a/include/chicorybank/token/ServerSelector.h
+++ b/include/chicorybank/token/ServerSelector.h
@@ -142,7 +142,7 @@
   RecentOpenings Recent;
   std::vector<Sighting> Sightings;
   /// When a choice last ignored the health of the servers, by service.
-  std::unordered_map<uint32_t, Time> PanicAt;
+  std::unordered_map<uint64_t, Time> PanicAt;
 };
 
 } // namespace chicory::token
--- a/include/chicorybank/token/ServerSubsets.h
+++ b/include/chicorybank/token/ServerSubsets.h
@@ -146,7 +146,7 @@
   size_t InstancesBeforeSelf = 0;
   /// The zone with which this instance is listed; null if it isn't.
   const InstanceRing *SelfRing = nullptr;
-  std::unordered_map<uint32_t, ServerList> Lists;
+  std::unordered_map<uint64_t, ServerList> Lists;
   /// The servers of the last `refresh`.
   const Backends *Servers = nullptr;
 };
--- a/include/chicorybank/token/WarmUp.h
+++ b/include/chicorybank/token/WarmUp.h
@@ -64,7 +64,7 @@
   bool opensFlowsFor(const Backend &server) const;
 
   InstanceId Self;
-  std::unordered_map<uint32_t, ServiceWarmUp> Services;
+  std::unordered_map<uint64_t, ServiceWarmUp> Services;
   std::vector<ZonedInstance> Instances;
   /// When this instance was first listed; `Time::max()` while it is not listed.
   Time ListedSince = Time::max();
--- a/include/chicorybank/token/Zones.h
+++ b/include/chicorybank/token/Zones.h
@@ -88,7 +88,7 @@
   /// No zone is suspect after this time. In the usual case this saves a look-up
   /// for each of thousands of servers.
   Time AnySuspectUntil;
-  std::unordered_map<uint32_t, Load> ByService;
+  std::unordered_map<uint64_t, Load> ByService;
 };
 
 } // namespace chicory::token
--- a/lib/base/Hash.cpp
+++ b/lib/base/Hash.cpp
@@ -1,5 +1,6 @@
 #include "chicorybank/base/Hash.h"
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <xxhash.h>
@@ -17,8 +18,18 @@
 }
 
 ServiceId serviceIdOf(std::string_view name) {
-  auto id = static_cast<uint32_t>(hashBytes(name));
-  return ServiceId{id == 0 ? 1 : id};
+  constexpr uint64_t Seed = 1;
+  constexpr uint64_t Mask = 0x7fffffff;
+  uint64_t low = static_cast<uint32_t>(hashBytes(name));
+  uint64_t high = XXH3_64bits_withSeed(name.data(), name.size(), Seed) & Mask;
+  return ServiceId{std::max<uint64_t>(high, 1) << 32 |
+                   std::max<uint64_t>(low, 1)};
 }
 
+ServiceId shortServiceId(ServiceId id) {
+  return ServiceId{static_cast<uint32_t>(id.Value)};
+}
+
+bool isShort(ServiceId id) { return id == shortServiceId(id); }
+
 } // namespace chicory
--- a/lib/edge/Directory.cpp
+++ b/lib/edge/Directory.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr uint64_t FormatVersion = 3;
+constexpr uint64_t FormatVersion = 4;
 // Limits the memory that a damaged item can take. An item of the registry holds
 // at most a megabyte, and intact data is not compressed to less than a tenth.
 constexpr size_t MaxBytes = 16 << 20;
@@ -95,7 +95,7 @@
   Unpacker serviceList = in.nested();
   std::vector<ServiceId> services;
   while (serviceList.more())
-    services.push_back(ServiceId{narrow<uint32_t>(in, serviceList.number())});
+    services.push_back(ServiceId{serviceList.number()});
   in.require(zoneList.done() && serviceList.done());
 
   // The first column determines the number of servers: memory is allocated for
--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -42,6 +42,11 @@
   return *x == later;
 }
 
+/// Checksums are compared with those of instances that know 32 bits of an id.
+uint32_t shortValue(ServiceId id) {
+  return static_cast<uint32_t>(shortServiceId(id).Value);
+}
+
 /// Hashes an item's content; equal contents have equal hashes.
 struct ContentHash {
   uint64_t operator()(const std::monostate & /*content*/) const { return 0; }
@@ -51,7 +56,8 @@
   uint64_t operator()(const token::Registration &content) const {
     uint64_t out = mixHash(content.Id.Value, content.Where.packed());
     out = mixHash(out, static_cast<uint64_t>(content.StartedAtMs));
-    return mixHash(out, content.Service.Value * 2 + (content.Draining ? 1 : 0));
+    return mixHash(out, shortValue(content.Service) * 2 +
+                            (content.Draining ? 1 : 0));
   }
   uint64_t operator()(const RegistrationUnreadable &content) const {
     return mixHash(2, content.Id.Value);
@@ -64,7 +70,7 @@
   uint64_t operator()(const RouteHistoryPart &content) const {
     uint64_t out = content.Part;
     for (const token::RoutePair &it : content.Pairs)
-      out = mixHash(mixHash(out, it.Where.packed()), it.Service.Value);
+      out = mixHash(mixHash(out, it.Where.packed()), shortValue(it.Service));
     return out;
   }
   uint64_t operator()(const DirectorySummary &content) const {
--- a/lib/edge/RouteHistory.cpp
+++ b/lib/edge/RouteHistory.cpp
@@ -28,7 +28,8 @@
     if (!seen.insert(it.Where).second)
       continue;
     for (const token::WeightedService &service : it.Services)
-      out.insert({.Where = it.Where, .Service = service.Service});
+      out.insert(
+          {.Where = it.Where, .Service = shortServiceId(service.Service)});
   }
   return out;
 }
--- a/lib/rules/RuleFile.cpp
+++ b/lib/rules/RuleFile.cpp
@@ -80,7 +80,7 @@
   TomlReader reader(table, File, Faults);
   Service service;
   service.Name = reader.requiredText("name");
-  service.Id = serviceIdOf(service.Name);
+  service.Id = shortServiceId(serviceIdOf(service.Name));
   service.Slots = static_cast<uint16_t>(
       reader.number("slots", service.Slots, {.Min = 1, .Max = 1000}));
   service.Connections = static_cast<uint32_t>(reader.number(
@@ -159,7 +159,7 @@
   if (name.empty() != refuse)
     reader.addFinding("service", "give either a service or refuse = true");
   if (!name.empty()) {
-    rule.Service = serviceIdOf(name);
+    rule.Service = shortServiceId(serviceIdOf(name));
     if (Rules.findService(name) == nullptr)
       reader.addFinding("service", "no service is named \"" + name + "\"");
   }
--- a/lib/rules/RulePages.cpp
+++ b/lib/rules/RulePages.cpp
@@ -28,7 +28,7 @@
                     encodePrefixes(rule.Destinations),
                     ports,
                     qint64{rule.Protocol},
-                    qint64{rule.Service.Value}};
+                    static_cast<qint64>(rule.Service.Value)};
 }
 
 QCborValue encodeService(const Service &service) {
@@ -92,7 +92,7 @@
   CborReader reader(value);
   Service out;
   out.Name = reader.text();
-  out.Id = serviceIdOf(out.Name);
+  out.Id = shortServiceId(serviceIdOf(out.Name));
   out.Slots = static_cast<uint16_t>(reader.number(UINT16_MAX));
   out.Connections = static_cast<uint32_t>(reader.number(UINT32_MAX));
   QCborArray targets = reader.list();
--- a/lib/token/Backends.cpp
+++ b/lib/token/Backends.cpp
@@ -154,7 +154,7 @@
   return oldState != backend.State;
 }
 
-void Backends::setNamedServices(std::unordered_set<uint32_t> services,
+void Backends::setNamedServices(std::unordered_set<uint64_t> services,
                                 Time now) {
   if (NamedServices == services)
     return;
--- a/lib/token/Core.cpp
+++ b/lib/token/Core.cpp
@@ -304,7 +304,7 @@
 /// would take its new flows, though no route leads to that entry's service.
 void Core::updateNamedServices(const RouteSet &routes, Time now,
                                Actions &actions) {
-  std::unordered_set<uint32_t> named;
+  std::unordered_set<uint64_t> named;
   for (const Route &route : routes.Routes)
     for (const WeightedService &it : route.Services)
       named.insert(it.Service.Value);
--- a/lib/token/Routes.cpp
+++ b/lib/token/Routes.cpp
@@ -1,15 +1,23 @@
 #include "chicorybank/token/Routes.h"
 
+#include "chicorybank/base/Hash.h"
+
 #include <algorithm>
 
 namespace chicory::token {
 
 namespace {
 
-bool includes(const Route &route, ServiceId service) {
+/// Returns whether `id`, which may be a short one, is that of the service.
+bool names(ServiceId id, ServiceId service) {
+  return id == service || (isShort(id) && id == shortServiceId(service));
+}
+
+/// Returns whether a route leads to a service, whose id may be a short one.
+bool includes(const Route &route, ServiceId id) {
   return std::any_of(
       route.Services.begin(), route.Services.end(),
-      [&](const WeightedService &it) { return it.Service == service; });
+      [&](const WeightedService &it) { return names(id, it.Service); });
 }
 
 } // namespace
@@ -88,7 +96,7 @@
     return false;
   return std::any_of(
       past->second.begin(), past->second.end(), [&](const FormerService &it) {
-        return it.Service == pair.Service && now - it.LostAt <= MaxFlowAge;
+        return names(it.Service, pair.Service) && now - it.LostAt <= MaxFlowAge;
       });
 }
 
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -4,6 +4,8 @@
 
 #include "chicorybank/edge/DirectoryWriter.h"
 
+#include "chicorybank/base/Hash.h"
+
 #include "Story.h"
 
 #include <random>
@@ -22,7 +24,7 @@
       [](uint64_t id, uint32_t ip, uint16_t port, uint32_t service,
          bool draining, uint32_t born) {
         return Registration{.Id = token::BackendId{id | 1},
-                            .Service = ServiceId{service % 4 + 1},
+                            .Service = serviceIdOf(std::to_string(service % 4)),
                             .Where = {.Ip = ip, .Port = port},
                             .Zone = "zone-" + std::to_string(ip % 5),
                             .Draining = draining,
@@ -46,7 +48,7 @@
   for (uint64_t id : ids)
     out.push_back(
         {.Id = token::BackendId{id},
-         .Service = ServiceId{0x9e3779b9 + uint32_t(id % 5 == 0)},
+         .Service = serviceIdOf(id % 5 == 0 ? "records" : "certificates"),
          .Where = {.Ip = 0x0a800000 + uint32_t(random() % 65536), .Port = 8080},
          .Zone = "zone-" + std::to_string(random() % 5),
          .Slots = 2,
@@ -62,6 +64,7 @@
   CPPUNIT_TEST(decodesWhatWasEncoded);
   CPPUNIT_TEST(rejectsTruncatedOrChangedBytes);
   CPPUNIT_TEST(encodingIsCompact);
+  CPPUNIT_TEST(keepsServicesWithOneShortIdApart);
   CPPUNIT_TEST_SUITE_END();
 
   void decodesWhatWasEncoded() {
@@ -92,6 +95,16 @@
     expectTrue(!decodeDirectory(std::string_view("")), "nothing");
   }
 
+  // Guards against servers of another service that get a route's flows after a
+  // start, until the first list.
+  void keepsServicesWithOneShortIdApart() {
+    std::vector<Registration> servers = registrations(2);
+    servers[0].Service = serviceIdOf("moci18a");
+    servers[1].Service = serviceIdOf("jawe17b");
+    auto decoded = decodeDirectory(encodeDirectory({.Servers = servers}));
+    expectTrue(decoded && decoded->Servers == servers, "two services");
+  }
+
   // 985 instances read it at once over a link of 1,000 Mbit/s. Guards against a
   // directory of 10,000 servers that takes seconds of that link: at 15 bytes
   // each, 20 as base64, all of them take 1.6 s. The largest item holds a
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(historyCoversAllItemsOfALargeDeployment);
   CPPUNIT_TEST(returnsEachChangedKeyOnce);
   CPPUNIT_TEST(checksumDependsOnContentAlone);
+  CPPUNIT_TEST(hasTheChecksumOfTheFormerProgram);
   CPPUNIT_TEST(reportsAWarmUpOnce);
   CPPUNIT_TEST(reportsAnUnparseableItemOnce);
   CPPUNIT_TEST(passesOnUnparseableItems);
@@ -131,6 +132,19 @@
       }
   }
 
+  // Guards against lists by all instances during a roll, since their checksums
+  // differ from those of instances of the former program.
+  void hasTheChecksumOfTheFormerProgram() {
+    Store store;
+    store.server(1);
+    store.server(2, "draining");
+    store.put("chicorybank/routes/0", R"({"198.18.0.1:443":[7,4000000000]})");
+    RegistryCache cache(Dialect);
+    Findings findings;
+    cache.replaceAll(store.list(), findings);
+    expectEqual<uint64_t>(6335687666696017803ULL, cache.digest());
+  }
+
   // Guards against a running server that other instances end when its time to
   // return is over: its lost registration and the new one have the same content
   // and, by chance, the same revision.
--- a/tests/RouteTableTest.cpp
+++ b/tests/RouteTableTest.cpp
@@ -1,5 +1,7 @@
 #include "chicorybank/token/Routes.h"
 
+#include "chicorybank/base/Hash.h"
+
 #include "Story.h"
 
 using namespace story;
@@ -31,8 +33,33 @@
   CPPUNIT_TEST(keepsLostServicesForTheMaximumFlowAge);
   CPPUNIT_TEST(distinguishesRemovedFromUnknownRoutes);
   CPPUNIT_TEST(addsServicesRecordedByOtherInstances);
+  CPPUNIT_TEST(knowsRecordedServicesByTheirShortIds);
   CPPUNIT_TEST_SUITE_END();
 
+  // Guards against flows of a service that a route has left which are dropped
+  // after a restart, and against packets at a service that only shares its
+  // short id with the one that the route leads to.
+  void knowsRecordedServicesByTheirShortIds() {
+    ServiceId first = serviceIdOf("moci18a");
+    ServiceId second = serviceIdOf("jawe17b");
+    RouteTable table(60s);
+    table.learn(routes(1, {{.Service = first}}), Start);
+    expectTrue(table.mayReach(FeedAddress, first, Start), "its own");
+    expectTrue(!table.mayReach(FeedAddress, second, Start), "only the hash");
+    Address other{.Ip = FeedAddress.Ip, .Port = 8443};
+    table.learnPast({{.Where = FeedAddress, .Service = shortServiceId(first)},
+                     {.Where = other, .Service = shortServiceId(second)}},
+                    Start);
+    expectTrue(!table.mayReach(FeedAddress, second, Start),
+               "the record names the service that the route leads to");
+    RouteSet moved = routes(2, {{.Service = first}});
+    moved.Routes.push_back(
+        {.Where = other, .Services = {{.Service = Records}}});
+    table.learn(moved, Start);
+    expectTrue(table.mayReach(other, second, Start + 1s), "as recorded");
+    expectTrue(!table.mayReach(other, second, Start + 61s), "not for ever");
+  }
+
   // Guards against a removed route that serves again because an older version
   // arrives later from a slower source.
   void rejectsOlderVersions() {
--- a/tests/Samples.h
+++ b/tests/Samples.h
@@ -27,7 +27,7 @@
 
 inline Service service(const std::string &name, uint32_t first,
                        uint32_t count) {
-  Service out{.Name = name, .Id = serviceIdOf(name)};
+  Service out{.Name = name, .Id = shortServiceId(serviceIdOf(name))};
   for (uint32_t i = 0; i < count; ++i)
     out.Targets.push_back({.Id = target(first + i), .Zone = "gikondo"});
   return out;
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(translatesAnyValueWithoutCrash);
   CPPUNIT_TEST(buildsRegistryCalls);
   CPPUNIT_TEST(readsTheGeneration);
+  CPPUNIT_TEST(keepsServicesWithOneShortIdApart);
   CPPUNIT_TEST_SUITE_END();
 
   void readsTheGeneration() {
@@ -72,6 +73,25 @@
     return std::get<token::RouteSet>(content).Routes[0];
   }
 
+  // Guards against flows that reach a server of another service, because the
+  // names of both have one hash of 32 bits.
+  void keepsServicesWithOneShortIdApart() {
+    Findings findings;
+    ItemContent config = read("op/config",
+                              R"({"version":1,"routes":[
+{"name":"a","host":"198.18.0.1","prefix":"/443/","type":"safe","service":"moci18a"},
+{"name":"b","host":"198.18.0.1","prefix":"/8443/","type":"safe","service":"jawe17b"}]})",
+                              findings);
+    const auto &routes = std::get<token::RouteSet>(config).Routes;
+    std::string other = Server;
+    other.replace(other.find("huvo11a"), 7, "jawe17b");
+    ItemContent server = read("servers/i-7f3a", other, findings);
+    ServiceId service = std::get<token::Registration>(server).Service;
+    expectTrue(service == routes[1].Services[0].Service, "its own route");
+    expectTrue(service != routes[0].Services[0].Service, "not the other one");
+    expectEqual<std::string>("", findings.text());
+  }
+
   void readsTheConfiguration() {
     Findings findings;
     ItemContent content = read("op/config", Config, findings);
