--- a/bench/ImbalanceBench.cpp
+++ b/bench/ImbalanceBench.cpp
@@ -34,7 +34,9 @@
 constexpr Duration RequestTimeout = std::chrono::seconds(2);
 
 Service makeService() {
-  Service out{.Name = "records", .Id = shortServiceId(serviceIdOf("records")), .Slots = Slots};
+  Service out{.Name = "records",
+              .Id = shortServiceId(serviceIdOf("records")),
+              .Slots = Slots};
   for (uint32_t i = 0; i < TargetCount; ++i)
     out.Targets.push_back(
         {.Id = {.Ip = 0x0a000001 + i, .Port = 80}, .Zone = "a"});
--- a/tests/DirectoryWriterTest.cpp
+++ b/tests/DirectoryWriterTest.cpp
@@ -106,10 +106,11 @@
   void limitsTheWriteRate() {
     Store store;
     for (uint64_t n = 1; n <= 5000; ++n)
-      store.put("servers/i-" + std::to_string(n),
-                R"({"service":"s","address":"10.0.)" + std::to_string(n / 250) +
-                    "." + std::to_string(n % 250 + 1) +
-                    R"(:80","zone":"a","slots":2,"state":"ready"})");
+      store.put(
+          "servers/i-" + std::to_string(n),
+          R"({"service":"s","address":"10.0.)" + std::to_string(n / 250) + "." +
+              std::to_string(n % 250 + 1) +
+              R"(:80","zone":"a","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1})");
     WriterFixture one;
     int written = 0;
     for (int n = 0; n < 60; ++n) {
@@ -131,7 +132,7 @@
     store.server(1);
     store.put(
         "servers/i-2",
-        R"({"service":"s","address":"10.0.0.2:80","zone":"b","slots":2,"state":"ready"})");
+        R"({"service":"s","address":"10.0.0.2:80","zone":"b","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1})");
     WriterFixture one;
     one.read(store, Start);
     one.write(store, Start + 2s);
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -148,9 +148,11 @@
       it.put(
           "op/config",
           R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"records"}]})");
-      it.put("servers/i-7", R"({"service":"records","address":")" +
-                                formatAddress(server.address()) +
-                                R"(","zone":"a","slots":2,"state":"ready"})");
+      it.put(
+          "servers/i-7",
+          R"({"service":"records","address":")" +
+              formatAddress(server.address()) +
+              R"(","zone":"a","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1})");
     });
     EdgeSettings settings = settingsFor(registry);
     platform::StoreDialect dialect;
@@ -221,9 +223,11 @@
     known.put(
         "op/config",
         R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"records"}]})");
-    known.put("servers/i-7", R"({"service":"records","address":")" +
-                                 formatAddress(server.address()) +
-                                 R"(","zone":"a","slots":2,"state":"ready"})");
+    known.put(
+        "servers/i-7",
+        R"({"service":"records","address":")" +
+            formatAddress(server.address()) +
+            R"(","zone":"a","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1})");
     platform::StoreDialect dialect;
     httplib::Server peer;
     peer.Get("/news", [&](const auto &, auto &response) {
@@ -282,7 +286,7 @@
           R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"records"}]})");
       it.put(
           "servers/i-7",
-          R"({"service":"records","address":"127.0.0.9:1","zone":"a","slots":2,"state":"ready","born":1796256000123})");
+          R"({"service":"records","address":"127.0.0.9:1","zone":"a","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"sequence":1,"born":1796256000123})");
       it.instance("127.0.0.2");
     });
     EdgeSettings settings = settingsFor(registry);
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -315,7 +315,8 @@
       int64_t before = store.revision();
       store.put("servers/i-7",
                 R"({"service":"records","address":"10.0.0.7:80","zone":"a",)"
-                R"("slots":2,"state":"ready","warmup_left_ms":)" +
+                R"("version":"v1","slots":2,"state":"ready",)"
+                R"("sequence":1,"warmup_left_ms":)" +
                     std::to_string(left) + "}");
       return cache.apply(store.since(before), findings).size();
     };
--- a/tests/RegistrySamples.h
+++ b/tests/RegistrySamples.h
@@ -47,16 +47,18 @@
                 const std::string &state = "ready", int sequence = 1) {
     put("servers/i-" + std::to_string(id),
         R"({"service":"records","address":"10.0.0.)" + std::to_string(address) +
-            R"(:80","zone":"a","slots":2,"state":")" + state +
-            R"(","sequence":)" + std::to_string(sequence) + "}");
+            R"(:80","zone":"a","version":"v1","slots":2,"state":")" + state +
+            R"(","warmup_left_ms":0,"sequence":)" + std::to_string(sequence) +
+            "}");
   }
   /// Writes an entry with the contents of a server's registration at any key;
   /// one that can't be read without a service.
   void entry(const std::string &key, const std::string &service) {
-    put(key, R"({"service":")" + service +
-                 R"(","address":"10.0.0.1:80","zone":"a","slots":2,)" +
-                 (service.empty() ? "" : R"("state":"ready",)") +
-                 R"("sequence":1})");
+    put(key,
+        R"({"service":")" + service +
+            R"(","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,)" +
+            (service.empty() ? "" : R"("state":"ready",)") +
+            R"("warmup_left_ms":0,"sequence":1})");
   }
   void config(int version) {
     put("op/config",
--- a/tests/RegistryWatcherTest.cpp
+++ b/tests/RegistryWatcherTest.cpp
@@ -676,8 +676,8 @@
     Store store = withDirectory();
     store.remove("servers/i-2");
     std::string successor =
-        R"({"service":"records","address":"10.0.0.2:80","zone":"a","slots":2,)"
-        R"("state":"ready","sequence":1})";
+        R"({"service":"records","address":"10.0.0.2:80","zone":"a","version":"v1",)"
+        R"("slots":2,"state":"ready","warmup_left_ms":0,"sequence":1})";
     store.put("servers/i-9", successor);
     WatcherFixture fixture;
     fixture.start(store);
--- a/tests/StoreDialectTest.cpp
+++ b/tests/StoreDialectTest.cpp
@@ -305,6 +305,11 @@
         changed("\"slots\":2", "\"slots\":2.5"),
         changed("\"slots\":2", "\"slots\":\"2\""),
         changed("700", "-700"),
+        changed("\"version\":\"v1\",", ""),
+        changed("\"v1\"", "1"),
+        changed("\"warmup_left_ms\":700,", ""),
+        changed(",\"sequence\":4", ""),
+        changed("\"sequence\":4", "\"sequence\":null"),
         changed("700", "\"soon\"")};
     for (const std::string &it : entries) {
       Findings findings;
