Soak: namesakes, numbers of other writers, crowds at stops, lone instances

Added, each with draws of its own: two services whose names have one 32-bit hash; entries at keys with a running server's number (damaged, whole, of another service); 150 distant callers that keep their flows while instances stop, one or two at a time; all instances killed, one back alone beside 3,000 idle registrations.

--- a/lib/edge/Metrics.cpp
+++ b/lib/edge/Metrics.cpp
@@ -173,6 +173,19 @@
            {"not_applicable", core.HealthReportsIgnored}});
 }
 
+void openingMetrics(std::ostringstream &out, const token::CoreStats &core) {
+  scalar(out, "chicory_opened_total", "counter",
+         "Flows assigned to a backend server", core.Opened);
+  scalar(out, "chicory_second_server_tokens_total", "counter",
+         "Packets of open flows with the token of another server, which stayed "
+         "at the flow's server",
+         core.SecondServerTokens);
+  scalar(out, "chicory_opened_unconfirmed_total", "counter",
+         "Flows assigned to a backend server before the registry updates were "
+         "first confirmed as current",
+         core.OpenedUnconfirmed);
+}
+
 } // namespace
 
 std::string renderEdgeMetrics(const EdgeStats &edge,
@@ -192,16 +205,7 @@
          edge.Core.Packets);
   scalar(out, "chicory_forwarded_total", "counter",
          "Packets sent to backend servers", edge.Core.Forwarded);
-  scalar(out, "chicory_opened_total", "counter",
-         "Flows assigned to a backend server", edge.Core.Opened);
-  scalar(out, "chicory_second_server_tokens_total", "counter",
-         "Packets of open flows with the token of another server, which stayed "
-         "at the flow's server",
-         edge.Core.SecondServerTokens);
-  scalar(out, "chicory_opened_unconfirmed_total", "counter",
-         "Flows assigned to a backend server before the registry updates were "
-         "first confirmed as current",
-         edge.Core.OpenedUnconfirmed);
+  openingMetrics(out, edge.Core);
   scalar(out, "chicory_probes_total", "counter",
          "Connections opened to probe whether a backend server is reachable",
          edge.Core.Probes);
--- a/tools/soaklib/faults.py
+++ b/tools/soaklib/faults.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from . import ends, fleet, registrations
+from . import ends, fleet, names, registrations
 
 
 async def stop_planned(world):
@@ -258,7 +258,7 @@
     """Starts one thing after another; they overlap."""
     end = time.monotonic() + seconds
     kinds = PLANNED if world.planned_only else PLANNED + FAULTS + FAULTS
-    running = {asyncio.ensure_future(it(world, seconds)) for it in (drain_zones, restore_stores, fail_in_part, press, signals, registrations.play)}
+    running = {asyncio.ensure_future(it(world, seconds)) for it in (drain_zones, restore_stores, fail_in_part, press, signals, registrations.play, *names.PLAYS)}
     while time.monotonic() < end:
         kind = world.random.choice(kinds)
         world.checks.count(kind.__name__)
--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -11,7 +11,7 @@
 import time
 import zlib
 
-from . import ends, peers, store, wire
+from . import ends, names, peers, store, wire
 
 APPLY_SECONDS = 3.0
 # A fault's effects may last this long; promises with a time count outside it.
@@ -70,6 +70,8 @@
         self.misses = 2
         self.wanted = True
         self.paused = False
+        # Its process is not started again for now.
+        self.held = False
 
     async def prepare(self):
         self.proxy = store.Proxy(self.world.store_port)
@@ -105,7 +107,7 @@
     async def watch(self):
         """Restarts the process whenever it has ended, as the platform does."""
         while self.wanted:
-            if not self.running():
+            if not self.running() and not self.held:
                 if self.process is not None and self.process.returncode not in (0, -signal.SIGKILL):
                     self.world.checks.breaks("ended by itself", f"{self.name} with {self.process.returncode}")
                 await self.start()
@@ -240,9 +242,10 @@
         way = self.ways.get(key)
         if way and way[0].process is way[1] and way[0].running():
             return way[0].ip, self.port
-        ready = [it for it in self.instances if it.misses < 2]
-        if len(ready) * 2 < len(self.instances):
-            ready = self.instances
+        present = [it for it in self.instances if not it.held]
+        ready = [it for it in present if it.misses < 2]
+        if len(ready) * 2 < len(present):
+            ready = present
         best = max(ready, key=lambda it: zlib.crc32(repr((key, it.ip)).encode()))
         if self.keeps_ways:
             self.ways[key] = (best, best.process)
@@ -364,6 +367,7 @@
         for service, count in zip(SERVICES, (5, 3)):
             for _ in range(count):
                 await self.add_backend(service)
+        names.register_idle_servers(self)
         for it in self.instances:
             await it.prepare()
         tasks = [asyncio.ensure_future(work) for it in self.instances for work in (it.watch(), it.probe())]
@@ -400,7 +404,7 @@
     async def _returns(self):
         """A server that failed in part and is well again gets new flows."""
         self.pressing = True
-        crowd = [asyncio.ensure_future(self.press(n, service)) for n, service in enumerate(SERVICES * 2)]
+        crowd = [asyncio.ensure_future(self.press(n, service)) for n, service in enumerate([*dict.fromkeys(self.routes.values())] * 2)]
         waiting = {it: it.openings for it in self.failed_in_part if it in self.living()}
         # A server of another zone gets new flows only while those of the instances' own zone are busy or drained.
         for drained in (None, *self.zones[:-1]):
