A failing first list backs off again

Cause: with the delay of the first list in two parts, the earlier of the two times counted, and the second one may be unset or past; so a first list that fails was called again at once, without the back-off. Found by reading the diff; no run has shown it.

Change: the back-off counts first.

Result: RegistryWatcherTest::backsOffFromAFailingFirstList failed before and passes.

--- a/lib/edge/RegistryWatcher.cpp
+++ b/lib/edge/RegistryWatcher.cpp
@@ -37,7 +37,7 @@
   if (CallInFlight)
     return Time::max();
   if (firstListIsPending())
-    return std::min(ListDueAt, std::max(DueAt, OthersListUntil));
+    return std::max(DueAt, std::min(ListDueAt, OthersListUntil));
   if (State == Phase::Starting || CallNow || listPageIsNext())
     return DueAt;
   if (watches())
--- a/tests/RegistryWatcherTest.cpp
+++ b/tests/RegistryWatcherTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(isAsCurrentAsThePushThatItPulledFor);
   CPPUNIT_TEST(doesNotListForATemporaryDifference);
   CPPUNIT_TEST(listsAtOnceWithoutADirectory);
+  CPPUNIT_TEST(backsOffFromAFailingFirstList);
   CPPUNIT_TEST(isNotCurrentAfterAStaleList);
   CPPUNIT_TEST(keepsServersThatALaterPageOfAStaleListLacks);
   CPPUNIT_TEST(waitsForAPushAfterAStaleList);
@@ -498,6 +499,22 @@
     return store;
   }
 
+  // Guards against calls without a pause while the registry fails at the first
+  // list.
+  void backsOffFromAFailingFirstList() {
+    for (bool directory : {false, true}) {
+      Store store = directory ? withDirectory() : Store();
+      store.config(4);
+      WatcherFixture fixture;
+      fixture.start(store);
+      fixture.Now += 1s;
+      size_t calls = 0;
+      for (Time end = fixture.Now + 2s; fixture.Now < end; fixture.Now += 1ms)
+        calls += fixture.fail(503) ? 1 : 0;
+      expectTrue(calls >= 2 && calls <= 8, std::to_string(calls) + " calls");
+    }
+  }
+
   // Guards against a list of everything for each lost call of a start; hundreds
   // are lost when a whole deployment starts.
   void retriesLostStartupCalls() {
