The wait for a list of another instance ends in time

Where a few instances of a large deployment start again one after the other, one of them has a list and says so, and the others wait for up to 15 s until it is passed on, while the records of the instances between them still stand.

Cause: messages of an instance with a list go to all others, its pushes along a tree of all records, so the wait had no bound where the pushes don't arrive.

Change: with such messages the first list begins within three quarters of apply_within, at a time that differs between instances.

--- a/include/chicorybank/edge/RegistryWatcher.h
+++ b/include/chicorybank/edge/RegistryWatcher.h
@@ -57,10 +57,10 @@
   /// so calls get lost; a shorter timeout detects that sooner.
   Duration StartupCallTimeout = std::chrono::milliseconds(400);
   /// The first list begins within this time from the registry's first answer,
-  /// however many servers the directory names, unless another instance is known
-  /// to pass its list on: what was read at the start is too old afterwards.
-  /// Half of the time in which changes must be in force; the list takes the
-  /// rest.
+  /// however many servers the directory names: what was read at the start is
+  /// too old afterwards. Half of the time in which changes must be in force;
+  /// the list takes the rest. While another instance is known to pass its list
+  /// on, the list begins within one and a half times this time.
   Duration FirstListWithin = std::chrono::milliseconds(1500);
   /// How long a message of an instance with a list counts as a sign that it
   /// passes the list on. Longer than two intervals of `AnnounceInterval`.
--- a/lib/edge/RegistryWatcher.cpp
+++ b/lib/edge/RegistryWatcher.cpp
@@ -256,7 +256,18 @@
   Time latest = std::max(*FirstAnswerAt + Times.FirstListWithin, now);
   DueAt = now + std::chrono::duration_cast<Duration>(
                     std::min(delayMax, latest - now) * wait);
-  ListDueAt = now + std::chrono::duration_cast<Duration>(delayMax * wait);
+  // An instance with a list may not reach this one, for example if those
+  // between them are gone.
+  constexpr double PassedOnWithinMin = 1.25;
+  constexpr double PassedOnWithinMax = 1.5;
+  std::uniform_real_distribution<double> factor(PassedOnWithinMin,
+                                                PassedOnWithinMax);
+  Time passedOnBy =
+      *FirstAnswerAt + std::chrono::duration_cast<Duration>(
+                           Times.FirstListWithin * factor(Random));
+  ListDueAt =
+      std::min(now + std::chrono::duration_cast<Duration>(delayMax * wait),
+               std::max(passedOnBy, DueAt));
 }
 
 void RegistryWatcher::handleFailure(int status, Time now) {
--- a/tests/StartModel.h
+++ b/tests/StartModel.h
@@ -23,7 +23,9 @@
 /// Sizes and rates of a model.
 struct StartModelOptions {
   size_t Instances = 300;
-  /// All of them start within this time.
+  /// Further instances that are registered and do not run.
+  size_t Gone = 0;
+  /// The running ones start within this time.
   Duration StartWithin = 300ms;
   Duration OneWay = 900us;
   Duration AnswerAfter = 4ms;
@@ -49,6 +51,8 @@
   size_t Lists = 0;
   /// From the first start until the last instance knows everything.
   Duration CompleteAfter = Duration::zero();
+  /// The longest time from the start of an instance until it knows everything.
+  Duration LongestStart = Duration::zero();
 
   Duration percentile(double fraction) const {
     return ServesAfter[static_cast<size_t>(
@@ -66,10 +70,11 @@
       Instances.push_back(
           std::make_unique<Instance>(n, options.Times, options.Seed + n));
     std::map<InstanceId, PeerRecord> records;
-    for (const auto &it : Instances)
-      records[it->Id] = {.Id = it->Id,
-                         .Zone = "nyarutarama",
-                         .PeerAddress = {.Ip = it->Id.Value}};
+    for (size_t n = 0; n < Options.Instances + Options.Gone; ++n) {
+      InstanceId id = idOf(n);
+      records[id] = {
+          .Id = id, .Zone = "nyarutarama", .PeerAddress = {.Ip = id.Value}};
+    }
     if (Options.Peers)
       for (const auto &it : Instances) {
         it->Tree.learn(records);
@@ -95,10 +100,12 @@
   }
 
 private:
+  static InstanceId idOf(size_t n) {
+    return InstanceId{static_cast<uint32_t>(n + 1)};
+  }
   struct Instance {
     Instance(size_t n, WatcherTimes times, uint64_t seed)
-        : Id{static_cast<uint32_t>(n + 1)},
-          Watcher(Dialect, times, seed, "nyarutarama"),
+        : Id(idOf(n)), Watcher(Dialect, times, seed, "nyarutarama"),
           Tree({.Self = Id, .Zone = "nyarutarama", .Seed = seed}) {}
     InstanceId Id;
     platform::StoreDialect Dialect;
@@ -188,6 +195,7 @@
     if (it.Watcher.complete() && !std::exchange(it.Complete, true)) {
       ++Completed;
       Outcome.CompleteAfter = now - Start;
+      Outcome.LongestStart = std::max(Outcome.LongestStart, now - it.StartedAt);
     }
     if (Options.Peers && it.Watcher.hasListForOthers() &&
         !std::exchange(it.Announces, true))
@@ -212,6 +220,8 @@
     UpdatePush push =
         from.Watcher.makePush(from.Id, from.Watcher.cache().position(), now);
     for (Address to : from.Tree.targets(fromRegistry)) {
+      if (to.Ip > Instances.size())
+        continue;
       Instance &it = *Instances[to.Ip - 1];
       at(now + Options.OneWay, [this, &it, &from, push](Time then) {
         receivePush(it, from, push, then);
--- a/tests/StartupReadsTest.cpp
+++ b/tests/StartupReadsTest.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(sharesListsBetweenInstances);
   CPPUNIT_TEST(sharesListsThatAreDueSoon);
   CPPUNIT_TEST(knowsEverythingInTimeWithoutTheOthers);
+  CPPUNIT_TEST(knowsEverythingInTimeAmongInstancesThatAreGone);
   CPPUNIT_TEST_SUITE_END();
 
   // 300 instances come back from a power loss within 0.3 s, with 600 servers
@@ -175,6 +176,30 @@
         }
     }
   }
+
+  // The same where the few start one after the other, while the records of the
+  // others stand. Guards against an instance that waits for a list which an
+  // instance with one can't pass on to it, since those between them are gone.
+  void knowsEverythingInTimeAmongInstancesThatAreGone() {
+    constexpr Duration ApplyWithin = 8s;
+    WatcherTimes times{.FirstListWithin = ApplyWithin / 2};
+    Store store = storeWith(985, 10'000);
+    addDirectory(store);
+    for (size_t left : {2U, 5U})
+      for (uint64_t seed = 0; seed < 6; ++seed) {
+        StartOutcome out = StartModel(store, {.Instances = left,
+                                              .Gone = 985 - left,
+                                              .StartWithin = 6s,
+                                              .Times = times,
+                                              .Seed = seed,
+                                              .Peers = true})
+                               .run();
+        expectTrue(out.LongestStart <= ApplyWithin,
+                   std::to_string(left) + " left, seed " +
+                       std::to_string(seed) + ": " +
+                       std::to_string(ms(out.LongestStart)) + " ms");
+      }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StartupReadsTest);
