An entry of an unknown service speaks for no server

What callers saw: a server got no flows if an entry of another program, of a service that nobody has configured, was at a key with its number before the server registered; and where such an entry could not be read at first, running servers were replaced by it.

Cause: of two keys with one number the one that was created first spoke for the server, whatever its service, also if it held no registration until then.

Change: an entry whose service the operators name goes before one whose service they don't, also once a configuration changes that. A key that was known and held no registration is the later one. A page's changes of a key that has lost its server are not passed on.

--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -217,22 +217,40 @@
                                      : RegistrationOrigin::UpToThis};
 }
 
-/// Records what a key holds now. `isNew`: it held no registration before.
-/// Returns false if it concerns a server for which another key speaks.
+/// Records what a key holds now. `isNew`: the key was not in the cache. Returns
+/// false if it concerns a server for which another key speaks.
 bool RegistryCache::speaksForServer(const Item &item,
-                                    const ItemContent &content, bool isNew,
-                                    Findings &findings) {
+                                    const ItemContent &content, bool isNew) {
   std::optional<token::BackendId> id = serverOf(content);
   if (!id)
     return true;
-  bool speaks = item.Deleted ? Keys.end(*id, item.Key)
-                : std::holds_alternative<token::Registration>(content)
-                    ? Keys.claim(*id, item.Key, item.Created, isNew)
-                    : Keys.maySpeakFor(*id, item.Key);
-  if (!speaks && isNew && !item.Deleted)
-    findings.add({.File = item.Key},
-                 "has the id of a server that is registered at another key");
-  return speaks;
+  if (item.Deleted)
+    return Keys.end(*id, item.Key);
+  if (const auto *it = std::get_if<token::Registration>(&content))
+    return Keys.claim(
+        *id, item.Key,
+        {.Created = item.Created, .Service = it->Service, .IsNew = isNew});
+  return Keys.maySpeakFor(*id, item.Key);
+}
+
+/// Lets each key that does not speak for its server claim it again, after a
+/// page that has changed the named services or the keys of such a server.
+/// Removes the changes of keys that do not speak any more.
+void RegistryCache::settleDisputes(std::vector<Change> &out) {
+  if (!Keys.takeUnsettled())
+    return;
+  for (const auto &[key, entry] : Items) {
+    const auto *it = std::get_if<token::Registration>(&entry.Content);
+    if (!it || entry.Retained || !Keys.isDisputed(it->Id) ||
+        Keys.speaksFor(it->Id, key))
+      continue;
+    if (speaksForServer(entry.Source, entry.Content, false))
+      out.push_back({.Source = entry.Source, .Content = entry.Content});
+  }
+  std::erase_if(out, [&](const Change &it) {
+    std::optional<token::BackendId> id = serverOf(it.Content);
+    return id && Keys.isDisputed(*id) && !Keys.maySpeakFor(*id, it.Source.Key);
+  });
 }
 
 void RegistryCache::applyItem(const Item &item, const ItemPage &page,
@@ -258,7 +276,7 @@
       Items.erase(it);
     }
     addToHistory(item, page.At);
-    if (speaksForServer(item, content, false, findings))
+    if (speaksForServer(item, content, false))
       out.push_back({.Source = item, .Content = std::move(content)});
     return;
   }
@@ -267,11 +285,15 @@
       recordReported(item);
     return;
   }
-  if (it == Items.end())
+  bool isNew = it == Items.end();
+  if (isNew)
     it = Items.emplace(item.Key, Entry{}).first;
-  bool isNew = !std::holds_alternative<token::Registration>(it->second.Content);
-  if (std::holds_alternative<token::RouteSet>(content))
+  bool wasRegistered =
+      std::holds_alternative<token::Registration>(it->second.Content);
+  if (const auto *routes = std::get_if<token::RouteSet>(&content)) {
     RoutesKey = item.Key;
+    Keys.learnRoutes(*routes);
+  }
   uint64_t digest = digestOf(item, content);
   if (it->second.Source.At.Generation < item.At.Generation)
     keepDrain(it->second.Content, content);
@@ -283,7 +305,10 @@
   removeFromTotals(it->second);
   it->second = {.Source = item, .Content = content, .Digest = digest};
   addToTotals(it->second);
-  bool speaks = speaksForServer(item, content, isNew, findings);
+  bool speaks = speaksForServer(item, content, isNew);
+  if (!speaks && !wasRegistered)
+    findings.add({.File = item.Key},
+                 "has the id of a server that is registered at another key");
   if (same)
     return;
   addToHistory(item, page.At);
@@ -319,6 +344,7 @@
   std::vector<Change> out;
   for (const Item &it : page.Items)
     applyItem(it, page, findings, out);
+  settleDisputes(out);
   return out;
 }
 
@@ -379,6 +405,7 @@
   }
   for (const Item &it : ended)
     applyItem(it, page, findings, out);
+  settleDisputes(out);
   At = std::max(At, reached);
   return out;
 }
@@ -392,6 +419,7 @@
   std::vector<Change> out;
   for (const Item &it : ended)
     applyItem(it, {.At = At}, findings, out);
+  settleDisputes(out);
   return out;
 }
 
--- a/lib/edge/ServerKeys.cpp
+++ b/lib/edge/ServerKeys.cpp
@@ -2,15 +2,43 @@
 
 #include "chicorybank/base/Hash.h"
 
+#include <algorithm>
+
 namespace chicory::edge {
 
+void ServerKeys::learnRoutes(const token::RouteSet &routes) {
+  std::vector<ServiceId> named;
+  for (const token::Route &route : routes.Routes)
+    for (const token::WeightedService &it : route.Services)
+      named.push_back(it.Service);
+  std::sort(named.begin(), named.end());
+  named.erase(std::unique(named.begin(), named.end()), named.end());
+  Named = std::move(named);
+  Unsettled = Unsettled || !Rivals.empty();
+}
+
+bool ServerKeys::isNamed(ServiceId service) const {
+  return !Named || std::ranges::binary_search(*Named, service);
+}
+
 bool ServerKeys::addRival(uint64_t id, uint64_t keyHash) {
   Rivals[id].insert(keyHash);
   return false;
 }
 
+void ServerKeys::removeRival(uint64_t id, uint64_t keyHash) {
+  auto rivals = Rivals.find(id);
+  if (rivals == Rivals.end())
+    return;
+  rivals->second.erase(keyHash);
+  if (!rivals->second.empty())
+    return;
+  Rivals.erase(rivals);
+  FormerOwners.erase(id);
+}
+
 bool ServerKeys::claim(token::BackendId id, std::string_view key,
-                       int64_t created, bool isNew) {
+                       const KeyClaim &claim) {
   uint64_t hash = hashBytes(key);
   auto former = FormerOwners.find(id.Value);
   if (former != FormerOwners.end()) {
@@ -18,43 +46,50 @@
       return addRival(id.Value, hash);
     FormerOwners.erase(former);
   }
-  auto [it, wasFree] =
-      Owners.try_emplace(id.Value, Owner{.KeyHash = hash, .Created = created});
+  Owner claimant{
+      .KeyHash = hash, .Created = claim.Created, .Service = claim.Service};
+  auto [it, wasFree] = Owners.try_emplace(id.Value, claimant);
   Owner &owner = it->second;
-  if (wasFree)
-    return true;
-  if (owner.KeyHash == hash) {
-    owner.Created = created;
+  if (wasFree || owner.KeyHash == hash) {
+    Unsettled = Unsettled || owner.Service != claim.Service;
+    owner = claimant;
+    removeRival(id.Value, hash);
     return true;
   }
+  bool named = isNamed(claim.Service);
   // The registration of the owner is the newer one if it has lapsed and
   // returned, so only the first sight of a key counts.
-  if (!isNew || created >= owner.Created)
+  bool takesOver = named != isNamed(owner.Service)
+                       ? named
+                       : claim.IsNew && claim.Created < owner.Created;
+  if (!takesOver)
     return addRival(id.Value, hash);
+  Unsettled = true;
   addRival(id.Value, owner.KeyHash);
-  owner = {.KeyHash = hash, .Created = created};
+  owner = claimant;
+  removeRival(id.Value, hash);
   return true;
 }
 
 bool ServerKeys::end(token::BackendId id, std::string_view key) {
   uint64_t hash = hashBytes(key);
-  auto rivals = Rivals.find(id.Value);
   auto owner = Owners.find(id.Value);
-  if (owner != Owners.end() && owner->second.KeyHash == hash) {
-    Owners.erase(owner);
-    if (rivals != Rivals.end())
-      FormerOwners[id.Value] = hash;
-    return true;
-  }
-  bool speaks = owner == Owners.end() && !FormerOwners.contains(id.Value);
-  if (rivals == Rivals.end())
+  if (owner == Owners.end() || owner->second.KeyHash != hash) {
+    bool speaks = owner == Owners.end() && !FormerOwners.contains(id.Value);
+    removeRival(id.Value, hash);
     return speaks;
-  rivals->second.erase(hash);
-  if (rivals->second.empty()) {
-    Rivals.erase(rivals);
-    FormerOwners.erase(id.Value);
   }
-  return speaks;
+  if (isDisputed(id) && isNamed(owner->second.Service))
+    FormerOwners[id.Value] = hash;
+  else if (isDisputed(id))
+    Unsettled = true;
+  Owners.erase(owner);
+  return true;
+}
+
+bool ServerKeys::speaksFor(token::BackendId id, std::string_view key) const {
+  auto owner = Owners.find(id.Value);
+  return owner != Owners.end() && owner->second.KeyHash == hashBytes(key);
 }
 
 bool ServerKeys::maySpeakFor(token::BackendId id, std::string_view key) const {
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(passesOnAReturnFromAStaleRead);
   CPPUNIT_TEST(claimsNoPositionBeyondTheChangesThatItHolds);
   CPPUNIT_TEST(letsOneKeySpeakForAServer);
+  CPPUNIT_TEST(letsNoOlderEntrySpeakForAServer);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
   CPPUNIT_TEST(passesOnWhatALaterPageOfAListHas);
   CPPUNIT_TEST(passesOnWhatALaterPageOfTheFirstListHad);
@@ -132,6 +133,63 @@
       }
   }
 
+  // Guards against the end of a running server, and of its flows, by an entry
+  // of another program that was there before the server: one of a service that
+  // nobody has configured, or one that could not be read at first.
+  void letsNoOlderEntrySpeakForAServer() {
+    constexpr const char *Routes =
+        R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/",)"
+        R"("service":"records"}]})";
+    for (const std::string &service : {std::string("metrics"), std::string()}) {
+      Store store;
+      store.entry("servers/agent-1", service);
+      store.serverAt(2, 1);
+      RegistryCache early(Dialect);
+      Findings findings;
+      early.replaceAll(store.list(), findings);
+      int64_t seen = store.revision();
+      store.put("op/config", Routes);
+      RegistryCache cache(Dialect);
+      section("instances that start use the server's own entry alone", [&] {
+        early.apply(store.since(seen), findings);
+        expectUsesServerAt(early, 2);
+        expectLearnsServerAt(cache.replaceAll(store.list(), findings), 2);
+        expectUsesServerAt(cache, 2);
+      });
+      section("the other entry is written again", [&] {
+        seen = store.revision();
+        store.entry("servers/agent-1", service.empty() ? "records" : service);
+        expectTrue(cache.apply(store.since(seen), findings).empty(),
+                   "it changes nothing");
+      });
+      section("the other entry ends", [&] {
+        seen = store.revision();
+        store.remove("servers/agent-1");
+        expectTrue(cache.apply(store.since(seen), findings).empty(),
+                   "its end changes nothing");
+        expectUsesServerAt(cache, 2);
+      });
+    }
+  }
+
+  static Address serverAddress(uint32_t number) {
+    return {.Ip = *parseIp("10.0.0." + std::to_string(number)), .Port = 80};
+  }
+
+  static void expectUsesServerAt(const RegistryCache &cache, uint32_t number) {
+    expectEqual<size_t>(1, cache.registrations().size());
+    expectTrue(cache.registrations()[0].Where == serverAddress(number),
+               "the server's own address");
+  }
+
+  static void expectLearnsServerAt(const std::vector<Change> &changes,
+                                   uint32_t number) {
+    for (const Change &it : changes)
+      if (const auto *server = std::get_if<token::Registration>(&it.Content))
+        expectTrue(server->Where == serverAddress(number),
+                   it.Source.Key + " concerns no server");
+  }
+
   // Guards against lists by all instances during a roll, since their checksums
   // differ from those of instances of the former program.
   void hasTheChecksumOfTheFormerProgram() {
