Soak: entries of other writers that are older than the servers'

Two servers of each third seed without planned work have an entry of an unknown service at a key with their number that is older than their own, until half of the run.

--- a/tools/soaklib/fleet.py
+++ b/tools/soaklib/fleet.py
@@ -368,6 +368,7 @@
             for _ in range(count):
                 await self.add_backend(service)
         names.register_idle_servers(self)
+        names.register_older_entries(self)
         for it in self.instances:
             await it.prepare()
         tasks = [asyncio.ensure_future(work) for it in self.instances for work in (it.watch(), it.probe())]
--- a/tools/soaklib/names.py
+++ b/tools/soaklib/names.py
@@ -14,6 +14,7 @@
 # One seed in so many has each of these; crowds come with planned work alone.
 NAMESAKES_EVERY = 3
 LONE_EVERY = 5
+OLDER_EVERY = 3
 # Entries of a service without traffic: so many that a first list could wait for seconds.
 IDLE_SERVERS = 3000
 CROWD = 150
@@ -106,6 +107,35 @@
         await asyncio.sleep(draw.uniform(0, 1))
 
 
+def has_older_entries(world):
+    return not world.planned_only and world.seed % OLDER_EVERY == 2
+
+
+def older_entries(world):
+    """Keys with the numbers of two servers' ids, and the servers."""
+    return [(f"servers/agent-{it.ident:x}", it) for it in world.backends[:2]]
+
+
+def register_older_entries(world):
+    """Another writer's entries of an unknown service, at keys that are older than those of the servers."""
+    if not has_older_entries(world):
+        return
+    for key, server in older_entries(world):
+        world.store.remove(server.key)
+        world.store.put(key, json.dumps(json.loads(server.entry()) | {"service": "node-metrics", "sequence": 1}))
+        server.register()
+
+
+async def older_entries_end(world, seconds):
+    if not has_older_entries(world):
+        return
+    keys = [key for key, _ in older_entries(world)]
+    await asyncio.sleep(seconds / 2)
+    for it in keys:
+        world.store.remove(it)
+    world.checks.count("older entries ended")
+
+
 def register_idle_servers(world):
     if world.planned_only or world.seed % LONE_EVERY != 1:
         return
@@ -132,4 +162,4 @@
             it.held = False
 
 
-PLAYS = (crowd, namesakes, numbers, left_alone)
+PLAYS = (crowd, namesakes, numbers, left_alone, older_entries_end)
