A known fault: a server's key is lost while its registration has lapsed

All four instances took the server's own key for another program's when it came back, and ended the server with the other entry (backend_gone cause=registration_ended).

Cause: ServerKeys remembers the key of a server that has ended only if another key stands at that time. A whole entry that appears after the lapse and before the return gets the server's place. An entry of an unknown service gives way at the return, a damaged one never gets it.

--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(claimsNoPositionBeyondTheChangesThatItHolds);
   CPPUNIT_TEST(letsOneKeySpeakForAServer);
   CPPUNIT_TEST(letsNoOlderEntrySpeakForAServer);
+  CPPUNIT_TEST(keepsTheKeyOfAServerWhoseRegistrationLapsed);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
   CPPUNIT_TEST(passesOnWhatALaterPageOfAListHas);
   CPPUNIT_TEST(passesOnWhatALaterPageOfTheFirstListHad);
@@ -172,6 +173,26 @@
     }
   }
 
+  // Guards against the end of a running server by a whole entry of another
+  // program that appears while the server's own registration has lapsed.
+  void keepsTheKeyOfAServerWhoseRegistrationLapsed() {
+    Store store;
+    store.server(1);
+    RegistryCache cache(Dialect);
+    Findings findings;
+    cache.replaceAll(store.list(), findings);
+    int64_t seen = store.revision();
+    store.remove("servers/i-1");
+    store.entry("servers/agent-1", "records");
+    store.server(1);
+    cache.apply(store.since(seen), findings);
+    seen = store.revision();
+    store.remove("servers/agent-1");
+    expectTrue(cache.apply(store.since(seen), findings).empty(),
+               "the end of the other entry changes nothing");
+    expectEqual<size_t>(1, cache.registrations().size());
+  }
+
   static Address serverAddress(uint32_t number) {
     return {.Ip = *parseIp("10.0.0." + std::to_string(number)), .Port = 80};
   }
