ServerKeys: a key owns the id of a server

The names spoke of keys that speak for servers, of rivals and disputes. A key owns an id now, and others conflict with it.

--- a/include/chicorybank/edge/RegistryCache.h
+++ b/include/chicorybank/edge/RegistryCache.h
@@ -129,9 +129,8 @@
   /// Returns the position up to which the cache will hold all changes once it
   /// has applied a list of everything.
   Position positionAfter(const ItemPage &list) const;
-  bool speaksForServer(const Item &item, const ItemContent &content,
-                       bool isNew);
-  void settleDisputes(std::vector<Change> &out);
+  bool updateOwner(const Item &item, const ItemContent &content, bool isNew);
+  void recheckOwners(std::vector<Change> &out);
   void addToHistory(const Item &item, Position learnedAt);
   Item asPassedOn(Item item) const;
   size_t historyLimit() const;
--- a/lib/edge/RegistryCache.cpp
+++ b/lib/edge/RegistryCache.cpp
@@ -218,9 +218,9 @@
 }
 
 /// Records what a key holds now. `isNew`: the key was not in the cache. Returns
-/// false if it concerns a server for which another key speaks.
-bool RegistryCache::speaksForServer(const Item &item,
-                                    const ItemContent &content, bool isNew) {
+/// false if it concerns a server whose id another key owns.
+bool RegistryCache::updateOwner(const Item &item, const ItemContent &content,
+                                bool isNew) {
   std::optional<token::BackendId> id = serverOf(content);
   if (!id)
     return true;
@@ -230,26 +230,26 @@
     return Keys.claim(
         *id, item.Key,
         {.Created = item.Created, .Service = it->Service, .IsNew = isNew});
-  return Keys.maySpeakFor(*id, item.Key);
+  return Keys.mayOwn(*id, item.Key);
 }
 
-/// Lets each key that does not speak for its server claim it again, after a
-/// page that has changed the named services or the keys of such a server.
-/// Removes the changes of keys that do not speak any more.
-void RegistryCache::settleDisputes(std::vector<Change> &out) {
-  if (!Keys.takeUnsettled())
+/// Lets each key that does not own its server's id claim it again, after a page
+/// that has changed the named services or the keys with that id. Removes the
+/// changes of keys that are no longer owners.
+void RegistryCache::recheckOwners(std::vector<Change> &out) {
+  if (!Keys.takeRecheck())
     return;
   for (const auto &[key, entry] : Items) {
     const auto *it = std::get_if<token::Registration>(&entry.Content);
-    if (!it || entry.Retained || !Keys.isDisputed(it->Id) ||
-        Keys.speaksFor(it->Id, key))
+    if (!it || entry.Retained || !Keys.hasConflict(it->Id) ||
+        Keys.owns(it->Id, key))
       continue;
-    if (speaksForServer(entry.Source, entry.Content, false))
+    if (updateOwner(entry.Source, entry.Content, false))
       out.push_back({.Source = entry.Source, .Content = entry.Content});
   }
   std::erase_if(out, [&](const Change &it) {
     std::optional<token::BackendId> id = serverOf(it.Content);
-    return id && Keys.isDisputed(*id) && !Keys.maySpeakFor(*id, it.Source.Key);
+    return id && Keys.hasConflict(*id) && !Keys.mayOwn(*id, it.Source.Key);
   });
 }
 
@@ -276,7 +276,7 @@
       Items.erase(it);
     }
     addToHistory(item, page.At);
-    if (speaksForServer(item, content, false))
+    if (updateOwner(item, content, false))
       out.push_back({.Source = item, .Content = std::move(content)});
     return;
   }
@@ -305,14 +305,14 @@
   removeFromTotals(it->second);
   it->second = {.Source = item, .Content = content, .Digest = digest};
   addToTotals(it->second);
-  bool speaks = speaksForServer(item, content, isNew);
-  if (!speaks && !wasRegistered)
+  bool isOwner = updateOwner(item, content, isNew);
+  if (!isOwner && !wasRegistered)
     findings.add({.File = item.Key},
                  "has the id of a server that is registered at another key");
   if (same)
     return;
   addToHistory(item, page.At);
-  if (speaks)
+  if (isOwner)
     out.push_back({.Source = item, .Content = std::move(content)});
 }
 
@@ -344,7 +344,7 @@
   std::vector<Change> out;
   for (const Item &it : page.Items)
     applyItem(it, page, findings, out);
-  settleDisputes(out);
+  recheckOwners(out);
   return out;
 }
 
@@ -405,7 +405,7 @@
   }
   for (const Item &it : ended)
     applyItem(it, page, findings, out);
-  settleDisputes(out);
+  recheckOwners(out);
   At = std::max(At, reached);
   return out;
 }
@@ -419,7 +419,7 @@
   std::vector<Change> out;
   for (const Item &it : ended)
     applyItem(it, {.At = At}, findings, out);
-  settleDisputes(out);
+  recheckOwners(out);
   return out;
 }
 
@@ -437,7 +437,7 @@
   for (const auto &[key, entry] : Items)
     if (const auto *it = std::get_if<token::Registration>(&entry.Content);
         it && !entry.Retained && (!zone || it->Zone == *zone) &&
-        (!Keys.isDisputed(it->Id) || Keys.maySpeakFor(it->Id, key)))
+        (!Keys.hasConflict(it->Id) || Keys.mayOwn(it->Id, key)))
       out.push_back(*it);
   return out;
 }
--- a/lib/edge/ServerKeys.cpp
+++ b/lib/edge/ServerKeys.cpp
@@ -14,26 +14,26 @@
   std::sort(named.begin(), named.end());
   named.erase(std::unique(named.begin(), named.end()), named.end());
   Named = std::move(named);
-  Unsettled = Unsettled || !Rivals.empty();
+  NeedsRecheck = NeedsRecheck || !OtherKeys.empty();
 }
 
 bool ServerKeys::isNamed(ServiceId service) const {
   return !Named || std::ranges::binary_search(*Named, service);
 }
 
-bool ServerKeys::addRival(uint64_t id, uint64_t keyHash) {
-  Rivals[id].insert(keyHash);
+bool ServerKeys::addOtherKey(uint64_t id, uint64_t keyHash) {
+  OtherKeys[id].insert(keyHash);
   return false;
 }
 
-void ServerKeys::removeRival(uint64_t id, uint64_t keyHash) {
-  auto rivals = Rivals.find(id);
-  if (rivals == Rivals.end())
+void ServerKeys::removeOtherKey(uint64_t id, uint64_t keyHash) {
+  auto others = OtherKeys.find(id);
+  if (others == OtherKeys.end())
     return;
-  rivals->second.erase(keyHash);
-  if (!rivals->second.empty())
+  others->second.erase(keyHash);
+  if (!others->second.empty())
     return;
-  Rivals.erase(rivals);
+  OtherKeys.erase(others);
   FormerOwners.erase(id);
 }
 
@@ -43,7 +43,7 @@
   auto former = FormerOwners.find(id.Value);
   if (former != FormerOwners.end()) {
     if (former->second != hash)
-      return addRival(id.Value, hash);
+      return addOtherKey(id.Value, hash);
     FormerOwners.erase(former);
   }
   Owner claimant{
@@ -51,9 +51,9 @@
   auto [it, wasFree] = Owners.try_emplace(id.Value, claimant);
   Owner &owner = it->second;
   if (wasFree || owner.KeyHash == hash) {
-    Unsettled = Unsettled || owner.Service != claim.Service;
+    NeedsRecheck = NeedsRecheck || owner.Service != claim.Service;
     owner = claimant;
-    removeRival(id.Value, hash);
+    removeOtherKey(id.Value, hash);
     return true;
   }
   bool named = isNamed(claim.Service);
@@ -63,11 +63,11 @@
                        ? named
                        : claim.IsNew && claim.Created < owner.Created;
   if (!takesOver)
-    return addRival(id.Value, hash);
-  Unsettled = true;
-  addRival(id.Value, owner.KeyHash);
+    return addOtherKey(id.Value, hash);
+  NeedsRecheck = true;
+  addOtherKey(id.Value, owner.KeyHash);
   owner = claimant;
-  removeRival(id.Value, hash);
+  removeOtherKey(id.Value, hash);
   return true;
 }
 
@@ -75,24 +75,24 @@
   uint64_t hash = hashBytes(key);
   auto owner = Owners.find(id.Value);
   if (owner == Owners.end() || owner->second.KeyHash != hash) {
-    bool speaks = owner == Owners.end() && !FormerOwners.contains(id.Value);
-    removeRival(id.Value, hash);
-    return speaks;
+    bool hasNoOwner = owner == Owners.end() && !FormerOwners.contains(id.Value);
+    removeOtherKey(id.Value, hash);
+    return hasNoOwner;
   }
-  if (isDisputed(id) && isNamed(owner->second.Service))
+  if (hasConflict(id) && isNamed(owner->second.Service))
     FormerOwners[id.Value] = hash;
-  else if (isDisputed(id))
-    Unsettled = true;
+  else if (hasConflict(id))
+    NeedsRecheck = true;
   Owners.erase(owner);
   return true;
 }
 
-bool ServerKeys::speaksFor(token::BackendId id, std::string_view key) const {
+bool ServerKeys::owns(token::BackendId id, std::string_view key) const {
   auto owner = Owners.find(id.Value);
   return owner != Owners.end() && owner->second.KeyHash == hashBytes(key);
 }
 
-bool ServerKeys::maySpeakFor(token::BackendId id, std::string_view key) const {
+bool ServerKeys::mayOwn(token::BackendId id, std::string_view key) const {
   uint64_t hash = hashBytes(key);
   auto former = FormerOwners.find(id.Value);
   if (former != FormerOwners.end())
--- a/tests/RegistryCacheTest.cpp
+++ b/tests/RegistryCacheTest.cpp
@@ -28,8 +28,8 @@
   CPPUNIT_TEST(comparesNothingAcrossGenerations);
   CPPUNIT_TEST(passesOnAReturnFromAStaleRead);
   CPPUNIT_TEST(claimsNoPositionBeyondTheChangesThatItHolds);
-  CPPUNIT_TEST(letsOneKeySpeakForAServer);
-  CPPUNIT_TEST(letsNoOlderEntrySpeakForAServer);
+  CPPUNIT_TEST(letsOneKeyOwnTheIdOfAServer);
+  CPPUNIT_TEST(letsNoOlderEntryOwnTheIdOfAServer);
   CPPUNIT_TEST(keepsTheKeyOfAServerWhoseRegistrationLapsed);
   CPPUNIT_TEST(passesOnARetainedRegistrationThatReturns);
   CPPUNIT_TEST(passesOnWhatALaterPageOfAListHas);
@@ -96,7 +96,7 @@
 
   // Guards against the end of a running server, and of its flows, by an entry
   // of another program whose key has the number of the server's id.
-  void letsOneKeySpeakForAServer() {
+  void letsOneKeyOwnTheIdOfAServer() {
     for (const std::string &key :
          {std::string("servers/agent-1"), std::string("servers/z-1"),
           std::string("servers/i-01"), std::string("servers/1")})
@@ -137,7 +137,7 @@
   // Guards against the end of a running server, and of its flows, by an entry
   // of another program that was there before the server: one of a service that
   // nobody has configured, or one that could not be read at first.
-  void letsNoOlderEntrySpeakForAServer() {
+  void letsNoOlderEntryOwnTheIdOfAServer() {
     constexpr const char *Routes =
         R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/",)"
         R"("service":"records"}]})";
--- a/tests/ServerKeysTest.cpp
+++ b/tests/ServerKeysTest.cpp
@@ -8,7 +8,7 @@
 
 class ServerKeysTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ServerKeysTest);
-  CPPUNIT_TEST(letsTheOldestRegistrationSpeak);
+  CPPUNIT_TEST(prefersTheOldestRegistration);
   CPPUNIT_TEST(keepsTheKeyOfAServerThatLapsesAndReturns);
   CPPUNIT_TEST(keepsARunningServersKey);
   CPPUNIT_TEST(prefersNamedServices);
@@ -19,7 +19,7 @@
 
   // Guards against instances that start and take an entry of another program
   // for the server's, because its key comes first in a list.
-  void letsTheOldestRegistrationSpeak() {
+  void prefersTheOldestRegistration() {
     for (bool ownKeyFirst : {false, true}) {
       ServerKeys keys;
       if (ownKeyFirst)
@@ -31,7 +31,7 @@
       expectTrue(
           keys.claim(Server, "i-7f3a", {.Created = 5, .IsNew = !ownKeyFirst}),
           "the older");
-      expectTrue(!keys.maySpeakFor(Server, "agent-7f3a"), "the newer one");
+      expectTrue(!keys.mayOwn(Server, "agent-7f3a"), "the newer one");
       expectTrue(!keys.end(Server, "agent-7f3a"), "its end says nothing");
       expectTrue(keys.end(Server, "i-7f3a"), "the server's end");
     }
@@ -45,7 +45,7 @@
     keys.claim(Server, "i-7f3a", {.Created = 5, .IsNew = true});
     keys.claim(Server, "agent-7f3a", {.Created = 9, .IsNew = true});
     expectTrue(keys.end(Server, "i-7f3a"), "it lapses");
-    section("meanwhile the other one does not speak", [&] {
+    section("meanwhile the other one does not own the id", [&] {
       expectTrue(!keys.claim(Server, "agent-7f3a", {.Created = 9}),
                  "a renewal");
       expectTrue(
@@ -56,7 +56,7 @@
     expectTrue(keys.claim(Server, "i-7f3a", {.Created = 12, .IsNew = true}),
                "it is back");
     expectTrue(!keys.claim(Server, "agent-7f3a", {.Created = 9}), "a renewal");
-    expectTrue(keys.maySpeakFor(Server, "i-7f3a"), "still its own key");
+    expectTrue(keys.mayOwn(Server, "i-7f3a"), "still its own key");
   }
 
   // Guards against a running server that is replaced by an entry of another
@@ -78,11 +78,11 @@
     keys.learnRoutes({.Routes = {{.Services = {{.Service = Named}}}}});
     keys.claim(Server, "agent-7f3a",
                {.Created = 3, .Service = Other, .IsNew = true});
-    keys.takeUnsettled();
+    keys.takeRecheck();
     KeyClaim own{.Created = 5, .Service = Named, .IsNew = true};
     section("the older entry gives way", [&] {
       expectTrue(keys.claim(Server, "i-7f3a", own), "a named service");
-      expectTrue(keys.takeUnsettled(), "the other key has lost its place");
+      expectTrue(keys.takeRecheck(), "the other key has lost its place");
       expectTrue(!keys.end(Server, "agent-7f3a"), "its end says nothing");
     });
     section("a server that is known before its service is configured", [&] {
@@ -91,14 +91,14 @@
                  {.Created = 3, .Service = Other, .IsNew = true});
       expectTrue(!keys.claim(Server, "i-7f3a", own), "the newer one");
       keys.learnRoutes({.Routes = {{.Services = {{.Service = Named}}}}});
-      expectTrue(keys.takeUnsettled(), "the configuration decides");
+      expectTrue(keys.takeRecheck(), "the configuration decides");
       own.IsNew = false;
       expectTrue(keys.claim(Server, "i-7f3a", own), "a named service");
     });
     section("the end of an entry that gave no server", [&] {
       keys.learnRoutes({});
       keys.end(Server, "i-7f3a");
-      expectTrue(keys.takeUnsettled(), "the other key may speak");
+      expectTrue(keys.takeRecheck(), "the other key may own the id");
     });
   }
 
@@ -107,9 +107,9 @@
     keys.claim(Server, "i-7f3a", {.Created = 5, .IsNew = true});
     keys.claim(Server, "agent-7f3a", {.Created = 9, .IsNew = true});
     keys.end(Server, "i-7f3a");
-    expectTrue(keys.isDisputed(Server), "the other one stands");
+    expectTrue(keys.hasConflict(Server), "the other one stands");
     keys.end(Server, "agent-7f3a");
-    expectTrue(!keys.isDisputed(Server), "none stands");
+    expectTrue(!keys.hasConflict(Server), "none stands");
     expectTrue(keys.claim(Server, "agent-7f3a", {.Created = 15, .IsNew = true}),
                "a server's key");
   }
